Core decisions and the replicated log, driven by a seeded fake network

Cause: nothing stood yet. Change: routing, admission, attempts, tickets, claims, suspects and Raft as plain step-driven code.

--- /dev/null
+++ b/crates/core/src/control/machine.rs
@@ -0,0 +1,118 @@
+//! [`Machine`]: the replicated state machine that the log's commands drive.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use crocustally_wire::ClaimOutcome;
+use crocustally_wire::Command;
+use crocustally_wire::DeathOutcome;
+use crocustally_wire::MachineState;
+use crocustally_wire::Outcome;
+use crocustally_wire::Ticket as TicketRecord;
+use crocustally_wire::TicketOutcome;
+use crocustally_wire::command::Kind;
+use crocustally_wire::outcome::Kind as OutcomeKind;
+use prost::Message;
+
+use super::Claims;
+use super::Config;
+use super::Suspects;
+use super::Ticket;
+use crate::Code;
+
+/// Configuration, claims and suspects: the durable state that voters share.
+///
+/// It has no clock and draws no random numbers, so every replica that has applied the same commands
+/// is equal; [`Machine::state`] and [`Machine::restore`] carry it through snapshots.
+#[derive(Clone, Debug, Default)]
+pub struct Machine {
+    config: Arc<Config>,
+    claims: Claims,
+    suspects: Suspects,
+}
+
+/// A snapshot whose bytes are not a machine's state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BadState;
+
+impl Machine {
+    /// Applies the command at `index` of the log.
+    pub fn apply(&mut self, index: u64, command: &[u8]) -> Outcome {
+        let kind = Command::decode(command).ok().and_then(|c| c.kind);
+        let kind = match kind {
+            Some(Kind::Ticket(t)) => OutcomeKind::Ticket(self.ticket(&t)),
+            Some(Kind::Claim(c)) => OutcomeKind::Claim(self.claim(index, &c)),
+            Some(Kind::Finish(f)) => OutcomeKind::Done(self.claims.finish(&f)),
+            Some(Kind::Death(d)) => {
+                OutcomeKind::Death(DeathOutcome { deaths: self.suspects.death(&d) })
+            }
+            Some(Kind::Cleared(d)) => {
+                self.suspects.cleared(&d);
+                OutcomeKind::Done(true)
+            }
+            None => OutcomeKind::Done(false),
+        };
+        Outcome { kind: Some(kind) }
+    }
+
+    /// The configuration in force here.
+    pub fn config(&self) -> &Arc<Config> {
+        &self.config
+    }
+
+    /// The suspects known here.
+    pub fn suspects(&self) -> &Suspects {
+        &self.suspects
+    }
+
+    /// The claims known here.
+    pub fn claims(&self) -> &Claims {
+        &self.claims
+    }
+
+    /// Everything, as the bytes of a snapshot.
+    pub fn state(&self) -> Bytes {
+        let (claims, expired, claim_floor_ms) = self.claims.export();
+        let config = serde_json::to_vec(&*self.config).unwrap_or_default();
+        let suspects = self.suspects.export();
+        let state =
+            MachineState { config: config.into(), claims, suspects, claim_floor_ms, expired };
+        state.encode_to_vec().into()
+    }
+
+    /// The inverse of [`Machine::state`].
+    pub fn restore(buf: &[u8]) -> Result<Self, BadState> {
+        let state = MachineState::decode(buf).map_err(|_| BadState)?;
+        let config: Config = serde_json::from_slice(&state.config).map_err(|_| BadState)?;
+        Ok(Self {
+            config: Arc::new(config),
+            claims: Claims::import(state.claims, &state.expired, state.claim_floor_ms),
+            suspects: Suspects::import(state.suspects),
+        })
+    }
+
+    fn ticket(&mut self, record: &TicketRecord) -> TicketOutcome {
+        let Ok(ticket) = Ticket::from_json(&record.body) else {
+            let code = u32::from(Code::TicketInvalid.number());
+            return TicketOutcome { code, ..TicketOutcome::default() };
+        };
+        let before = self.config.version;
+        let decision = Arc::make_mut(&mut self.config).apply(&ticket);
+        assert!(self.config.version >= before, "a configuration version went back");
+        TicketOutcome {
+            code: u32::from(decision.code),
+            version: decision.version,
+            winner_digest: decision.winner.into_bytes().into(),
+            number: ticket.number(),
+        }
+    }
+
+    fn claim(&mut self, index: u64, claim: &crocustally_wire::Claim) -> ClaimOutcome {
+        let outcome = self.claims.claim(index, claim);
+        if outcome.granted {
+            let attempt = outcome.state.as_ref().map_or(0, |s| s.attempt);
+            assert_eq!(attempt, claim.after_attempt + 1, "an attempt was granted out of turn");
+        }
+        outcome
+    }
+}
--- /dev/null
+++ b/crates/core/src/digest.rs
@@ -0,0 +1,55 @@
+//! [`Digest`]: a short fingerprint of content.
+
+use bytes::Bytes;
+
+/// The first 16 bytes of a BLAKE3 hash over length-prefixed parts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Digest(pub [u8; 16]);
+
+/// Bytes that are not 16 long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BadDigest;
+
+impl Digest {
+    /// Fingerprint of `parts`; where one part ends and the next begins counts.
+    pub fn of(parts: &[&[u8]]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in parts {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let mut out = [0; 16];
+        out.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+        Self(out)
+    }
+
+    /// The hash of a bearer key, as tickets carry it: the whole BLAKE3 in hexadecimal.
+    pub fn key_hash(key: &[u8]) -> String {
+        blake3::hash(key).to_hex().to_string()
+    }
+
+    /// Its bytes, for a message.
+    pub fn to_bytes(self) -> Bytes {
+        Bytes::copy_from_slice(&self.0)
+    }
+
+    /// Its first 8 bytes as a number.
+    pub fn to_u64(self) -> u64 {
+        let mut out = [0; 8];
+        out.copy_from_slice(&self.0[..8]);
+        u64::from_le_bytes(out)
+    }
+
+    /// Its bytes in hexadecimal.
+    pub fn hex(self) -> String {
+        self.0.iter().map(|b| format!("{b:02x}")).collect()
+    }
+}
+
+impl TryFrom<&[u8]> for Digest {
+    type Error = BadDigest;
+
+    fn try_from(buf: &[u8]) -> Result<Self, BadDigest> {
+        Ok(Self(buf.try_into().map_err(|_| BadDigest)?))
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,24 @@
+//! The decisions of crocustally, without I/O, threads or a clock of their own.
+//!
+//! Everything here is driven by plain calls that carry the time as an argument, so a seeded test
+//! with a fake clock can run any of it:
+//!
+//! * [`routing`]: an entry's choice of endpoint, its queues, limits and retry budget.
+//! * [`agent`]: admission and the at-most-once record beside each endpoint.
+//! * [`control`]: tickets, claims and suspects: the replicated state machine.
+//! * [`raft`]: the replicated log itself.
+//! * [`Code`]: the numbered results that all of them speak in.
+
+mod code;
+mod digest;
+
+pub mod agent;
+pub mod control;
+pub mod raft;
+pub mod routing;
+
+pub use code::Code;
+pub use code::Ran;
+pub use code::UnknownCode;
+pub use digest::BadDigest;
+pub use digest::Digest;
--- /dev/null
+++ b/crates/core/src/routing/endpoint.rs
@@ -0,0 +1,161 @@
+//! [`Endpoint`]: what an entry knows of one endpoint, from announcements and its own requests.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crocustally_wire::EndpointRecord;
+use crocustally_wire::Load as LoadRecord;
+
+/// A key into the arena of one service's endpoints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct EndpointKey(pub u32);
+
+/// What an agent says about the load on its engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that the agent admits at once.
+    pub limit: u32,
+    /// Requests running when the agent said this.
+    pub in_flight: u32,
+    /// Start number of the engine.
+    pub engine_start: u64,
+    /// Whether the agent takes no new work.
+    pub draining: bool,
+    /// Smoothed time to the first byte.
+    pub first_byte: Duration,
+}
+
+impl From<&LoadRecord> for Load {
+    fn from(r: &LoadRecord) -> Self {
+        Self {
+            limit: r.limit,
+            in_flight: r.in_flight,
+            engine_start: r.engine_start,
+            draining: r.draining,
+            first_byte: Duration::from_micros(u64::from(r.service_us)),
+        }
+    }
+}
+
+impl From<Load> for LoadRecord {
+    fn from(l: Load) -> Self {
+        Self {
+            limit: l.limit,
+            in_flight: l.in_flight,
+            engine_start: l.engine_start,
+            draining: l.draining,
+            service_us: u32::try_from(l.first_byte.as_micros()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+/// One announcement, checked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Announcement {
+    /// Name of the endpoint.
+    pub name: String,
+    /// Address of its agent.
+    pub address: String,
+    /// Failure domain it stands in.
+    pub domain: String,
+    /// Service it serves.
+    pub service: String,
+    /// Incarnation of the agent; a later start has a higher one.
+    pub incarnation: u64,
+    /// Counts the announcements of one incarnation.
+    pub sequence: u64,
+    /// Load when it was said.
+    pub load: Load,
+    /// Time since the agent itself said it.
+    pub age: Duration,
+    /// Version of the configuration that the agent acts on.
+    pub config_version: u64,
+    /// Prompt prefixes that the engine said it has cached lately.
+    pub prefixes: Vec<u64>,
+}
+
+/// An announcement without a name, an address, a service or an incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BadAnnouncement;
+
+impl TryFrom<EndpointRecord> for Announcement {
+    type Error = BadAnnouncement;
+
+    fn try_from(r: EndpointRecord) -> Result<Self, BadAnnouncement> {
+        let empty = r.name.is_empty() || r.address.is_empty() || r.service.is_empty();
+        if empty || r.incarnation == 0 {
+            return Err(BadAnnouncement);
+        }
+        Ok(Self {
+            name: r.name,
+            address: r.address,
+            domain: r.domain,
+            service: r.service,
+            incarnation: r.incarnation,
+            sequence: r.sequence,
+            load: r.load.as_ref().map(Load::from).unwrap_or_default(),
+            age: Duration::from_millis(u64::from(r.age_ms)),
+            config_version: r.config_version,
+            prefixes: r.prefixes,
+        })
+    }
+}
+
+/// One endpoint in the arena.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// The newest announcement.
+    pub said: Announcement,
+    /// When its lease runs out.
+    pub expires: Instant,
+    /// When the newest announcement was said, in this entry's time.
+    pub said_at: Instant,
+    /// This entry's own requests there now.
+    pub own: u32,
+    /// This entry's own requests there when the newest load was learnt.
+    pub own_at_report: u32,
+    /// Do not send here before this time, after refusals or failures.
+    pub pause_until: Option<Instant>,
+    /// Consecutive refusals and failures.
+    pub misses: u32,
+    /// Taken out by configuration: its domain is out, or it has been told to drain.
+    pub barred: bool,
+    /// Rises with every change; gossip sends what is above the last one sent.
+    pub revision: u64,
+}
+
+impl Endpoint {
+    /// Requests there, from the last report corrected by what this entry has done since.
+    pub fn estimate(&self) -> u32 {
+        (self.said.load.in_flight + self.own).saturating_sub(self.own_at_report).max(self.own)
+    }
+
+    /// Whether its lease holds and nothing bars new work.
+    pub fn usable(&self, now: Instant) -> bool {
+        let paused = self.pause_until.is_some_and(|t| t > now);
+        self.expires > now && !self.barred && !self.said.load.draining && !paused
+    }
+
+    /// Whether it has room, as far as this entry can tell.
+    pub fn has_room(&self) -> bool {
+        self.estimate() < self.said.load.limit
+    }
+
+    /// The announcement with its age at `now`, for passing on.
+    pub fn record(&self, now: Instant) -> EndpointRecord {
+        let a = &self.said;
+        let age = now.saturating_duration_since(self.said_at);
+        EndpointRecord {
+            name: a.name.clone(),
+            address: a.address.clone(),
+            domain: a.domain.clone(),
+            service: a.service.clone(),
+            incarnation: a.incarnation,
+            sequence: a.sequence,
+            load: Some(a.load.into()),
+            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+            config_version: a.config_version,
+            prefixes: a.prefixes.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/shard.rs
@@ -0,0 +1,268 @@
+//! [`ServiceShard`]: everything an entry decides about one service, under one lock.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use smallvec::SmallVec;
+
+use super::Directory;
+use super::EndpointKey;
+use super::FairQueue;
+use super::Load;
+use super::Policy;
+use super::PrefixCache;
+use super::RetryBudget;
+use super::Waiter;
+use super::WaiterKey;
+use super::Wish;
+use super::choose;
+use crate::Code;
+use crate::control::Priority;
+
+/// One request's wish for an endpoint.
+#[derive(Clone, Debug)]
+pub struct Ask<'a> {
+    /// Workspace that it belongs to.
+    pub workspace: &'a str,
+    /// The workspace's weight.
+    pub share: u32,
+    /// The workspace's priority.
+    pub priority: Priority,
+    /// Prefix of its prompt; 0 when it has none.
+    pub prefix: u64,
+    /// When it stops waiting for room.
+    pub until: Instant,
+    /// Endpoints that have refused or failed it already.
+    pub not: &'a [EndpointKey],
+    /// Whether this is a retry, which the budget must pay for.
+    pub retry: bool,
+    /// Whether it must not share an endpoint with another suspect.
+    pub suspect: bool,
+}
+
+/// What becomes of a wish.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// Send it there; a place is counted until [`ServiceShard::finished`].
+    Send(EndpointKey),
+    /// Wait for a [`Grant`] with this key.
+    Wait(WaiterKey),
+    /// It is refused and has not run.
+    Refuse(Code),
+}
+
+/// Word for one waiter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// The waiter.
+    pub waiter: WaiterKey,
+    /// Where to send it, or why not.
+    pub answer: Result<EndpointKey, Code>,
+}
+
+/// Grants of one event, mostly none or one.
+pub type Grants = SmallVec<[Grant; 4]>;
+
+/// How a request ended at its endpoint, as far as routing cares.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// It was answered.
+    Answered,
+    /// The agent refused it; it has not run.
+    Refused(Code),
+    /// The connection or the engine failed.
+    Failed,
+}
+
+/// First pause after a refusal or a failure; it doubles with every further one.
+const PAUSE_FIRST: Duration = Duration::from_millis(25);
+/// Longest pause.
+const PAUSE_MAX: Duration = Duration::from_secs(2);
+/// Weight of the newest request in the smoothed time that a place is held.
+const HELD_SMOOTHING: f64 = 0.1;
+/// Low-priority requests are refused when more than this share of the places has a waiter.
+const LOW_PRIORITY_WAIT: f64 = 0.25;
+
+/// Directory, queue, budget and caches of one service.
+pub struct ServiceShard {
+    /// Endpoints that have announced themselves.
+    pub directory: Directory,
+    queue: FairQueue,
+    budget: RetryBudget,
+    prefixes: PrefixCache,
+    policy: Policy,
+    domain: String,
+    rng: ChaCha8Rng,
+    turn: usize,
+    next_waiter: u64,
+    held_s: f64,
+    ticked: Option<Instant>,
+}
+
+impl ServiceShard {
+    /// An empty shard for an entry in `domain`.
+    pub fn new(domain: &str, seed: u64) -> Self {
+        Self {
+            directory: Directory::default(),
+            queue: FairQueue::default(),
+            budget: RetryBudget::default(),
+            prefixes: PrefixCache::default(),
+            policy: Policy::default(),
+            domain: domain.to_owned(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            turn: 0,
+            next_waiter: 0,
+            held_s: 0.0,
+            ticked: None,
+        }
+    }
+
+    /// Uses another policy, for comparison.
+    pub fn with_policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
+        self
+    }
+
+    /// Decides about a request that has just come, or has just been refused somewhere.
+    pub fn ask(&mut self, now: Instant, ask: &Ask<'_>) -> Answer {
+        if ask.retry && !self.budget.spend() {
+            return Answer::Refuse(Code::RetryBudgetSpent);
+        }
+        if !ask.retry {
+            self.budget.earn();
+        }
+        let first_in_line = self.queue.ahead_of(ask.priority) == 0;
+        if first_in_line && let Some(key) = self.take(now, ask.prefix, ask.not) {
+            return Answer::Send(key);
+        }
+        self.wait(now, ask)
+    }
+
+    /// Learns how a request ended, and who may go next.
+    pub fn finished(
+        &mut self,
+        now: Instant,
+        key: EndpointKey,
+        ended: Ended,
+        load: Option<Load>,
+        held: Duration,
+    ) -> Grants {
+        if let Some(e) = self.directory.get_mut(key) {
+            e.own = e.own.saturating_sub(1);
+            note_end(e, now, ended);
+        }
+        if let Some(load) = load {
+            self.directory.load(key, load);
+        }
+        if ended == Ended::Answered {
+            self.held_s += HELD_SMOOTHING * (held.as_secs_f64() - self.held_s);
+        }
+        self.pump(now)
+    }
+
+    /// Learns a load, and who may go next.
+    pub fn load(&mut self, now: Instant, key: EndpointKey, load: Load) -> Grants {
+        self.directory.load(key, load);
+        self.pump(now)
+    }
+
+    /// Learns prefixes that an engine said it holds; late or wrong word costs a miss at most.
+    pub fn cached(&mut self, key: EndpointKey, prefixes: &[u64]) {
+        for p in prefixes {
+            self.prefixes.insert(*p, key);
+        }
+    }
+
+    /// Lets time pass: expires waiters, fills the budget, forgets silent endpoints.
+    pub fn tick(&mut self, now: Instant) -> Grants {
+        let last = self.ticked.replace(now).unwrap_or(now);
+        self.budget.tick(now.duration_since(last).as_secs_f64());
+        self.directory.forget_silent(now);
+        let expired = self.queue.expire(now);
+        let refuse = |waiter| Grant { waiter, answer: Err(Code::Overloaded) };
+        let mut grants: Grants = expired.into_iter().map(refuse).collect();
+        grants.extend(self.pump(now));
+        grants
+    }
+
+    /// Takes a waiter out whose caller has left.
+    pub fn cancel(&mut self, waiter: WaiterKey) {
+        self.queue.cancel(waiter);
+    }
+
+    /// Whether any endpoint can take work at all, now or when it has room.
+    pub fn any_usable(&self, now: Instant) -> bool {
+        let alive = |e: &super::Endpoint| e.expires > now && !e.barred && !e.said.load.draining;
+        self.directory.iter().any(|(_, e)| alive(e))
+    }
+
+    /// Requests waiting.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    fn take(&mut self, now: Instant, prefix: u64, not: &[EndpointKey]) -> Option<EndpointKey> {
+        let cached = self.prefixes.get(prefix);
+        let wish = Wish { prefix, domain: &self.domain, not, cached };
+        let key = choose(self.policy, &self.directory, now, &wish, &mut self.rng, &mut self.turn)?;
+        self.directory.get_mut(key)?.own += 1;
+        self.prefixes.insert(prefix, key);
+        Some(key)
+    }
+
+    fn wait(&mut self, now: Instant, ask: &Ask<'_>) -> Answer {
+        if !self.any_usable(now) {
+            return Answer::Refuse(Code::NoEndpoint);
+        }
+        let ahead = self.queue.ahead_of(ask.priority) as f64;
+        let places = self.places(now).max(1.0);
+        if ask.priority == Priority::Low && self.queue.len() as f64 > places * LOW_PRIORITY_WAIT {
+            return Answer::Refuse(Code::LowPriorityShed);
+        }
+        let expected_s = ahead * self.held_s / places;
+        if now + Duration::from_secs_f64(expected_s) > ask.until {
+            return Answer::Refuse(Code::DeadlineTooShort);
+        }
+        self.next_waiter += 1;
+        let key = WaiterKey(self.next_waiter);
+        let w = Waiter { key, until: ask.until, prefix: ask.prefix, suspect: ask.suspect };
+        if !self.queue.push(ask.priority, ask.workspace, ask.share, w) {
+            return Answer::Refuse(Code::ShareExceeded);
+        }
+        Answer::Wait(key)
+    }
+
+    fn pump(&mut self, now: Instant) -> Grants {
+        let mut grants = Grants::new();
+        while let Some(w) = self.queue.peek() {
+            let Some(key) = self.take(now, w.prefix, &[]) else { break };
+            self.queue.pop();
+            grants.push(Grant { waiter: w.key, answer: Ok(key) });
+        }
+        grants
+    }
+
+    /// Places at all usable endpoints together.
+    fn places(&self, now: Instant) -> f64 {
+        let usable = self.directory.iter().filter(|(_, e)| e.usable(now));
+        usable.map(|(_, e)| f64::from(e.said.load.limit)).sum()
+    }
+}
+
+fn note_end(e: &mut super::Endpoint, now: Instant, ended: Ended) {
+    match ended {
+        Ended::Answered => {
+            e.misses = 0;
+            e.pause_until = None;
+        }
+        Ended::Refused(Code::EndpointLeaving) => e.said.load.draining = true,
+        Ended::Refused(Code::SuspectBusy) => {}
+        Ended::Refused(_) | Ended::Failed => {
+            e.misses = (e.misses + 1).min(8);
+            let pause = PAUSE_FIRST * (1 << (e.misses - 1));
+            e.pause_until = Some(now + pause.min(PAUSE_MAX));
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/examples/generate.rs
@@ -0,0 +1,20 @@
+//! Writes `src/generated.rs` from `proto/crocustally.proto`; needs no `protoc`.
+//!
+//! Run from the root of the repository: `cargo run -p crocustally_wire --example generate`.
+
+use std::error::Error;
+use std::fs;
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let fds = protox::compile(["crates/wire/proto/crocustally.proto"], ["crates/wire/proto"])?;
+    let out = std::env::temp_dir().join("crocustally-wire");
+    fs::create_dir_all(&out)?;
+    tonic_prost_build::configure()
+        .build_transport(false)
+        .bytes(".")
+        .out_dir(&out)
+        .compile_fds(fds)?;
+    let text = fs::read_to_string(out.join("crocustally.v1.rs"))?;
+    fs::write("crates/wire/src/generated/crocustally_v1.rs", text)?;
+    Ok(())
+}
