The thin path: caller, entry, agent, engine as separate processes

Cause: decisions without edges serve nobody. HTTP/2 heartbeats on idle connections, since 600 idle ones would cost an entry 40 KB/s by arithmetic; only connections with calls under way are watched.

--- /dev/null
+++ b/crates/agent/src/pieces.rs
@@ -0,0 +1,37 @@
+//! Building the pieces of an answer.
+
+use bytes::Bytes;
+use crocustally_core::Code;
+use crocustally_core::Ran;
+use crocustally_core::routing::Load;
+use crocustally_wire::Data;
+use crocustally_wire::End;
+use crocustally_wire::Head;
+use crocustally_wire::Refusal;
+use crocustally_wire::RunPiece;
+use crocustally_wire::run_piece::Kind;
+
+/// The start of an answer.
+pub(crate) fn head(status: u16, content_type: String, stream: bool) -> RunPiece {
+    piece(Kind::Head(Head { status: u32::from(status), content_type, stream }), None)
+}
+
+/// A part of an answer.
+pub(crate) fn data(offset: u64, bytes: Bytes) -> RunPiece {
+    piece(Kind::Data(Data { offset, bytes }), None)
+}
+
+/// The end mark, without which an answer is not an answer.
+pub(crate) fn end(count: u64, load: Load) -> RunPiece {
+    piece(Kind::End(End { count }), Some(load))
+}
+
+/// A refusal or a failure.
+pub(crate) fn refusal(code: Code, ran: Ran, engine_died: bool, load: Load) -> RunPiece {
+    let code = u32::from(code.number());
+    piece(Kind::Refusal(Refusal { code, ran: ran.number(), engine_died }), Some(load))
+}
+
+fn piece(kind: Kind, load: Option<Load>) -> RunPiece {
+    RunPiece { kind: Some(kind), load: load.map(Into::into) }
+}
--- a/crates/core/src/control/claims.rs
+++ b/crates/core/src/control/claims.rs
@@ -50,6 +50,9 @@
         if current.digest != claim.digest {
             return refused(Code::KeyConflict, None);
         }
+        if current.nonce == claim.nonce && !current.finished {
+            return ClaimOutcome { granted: true, code: 0, state: Some(current.clone()) };
+        }
         if current.finished || current.attempt != claim.after_attempt || claim.after_attempt == 0 {
             return refused(Code::StillRunning, Some(current.clone()));
         }
@@ -117,6 +120,7 @@
             incarnation: claim.incarnation,
             claim_index: index,
             at_ms: self.now_ms,
+            nonce: claim.nonce,
             ..ClaimState::default()
         };
         if let Some(old) = self.by_key.insert(key, state.clone()) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,12 +7,14 @@
 //! * [`agent`]: admission and the at-most-once record beside each endpoint.
 //! * [`control`]: tickets, claims and suspects: the replicated state machine.
 //! * [`raft`]: the replicated log itself.
+//! * [`burn`]: how fast objectives' error budgets are spent.
 //! * [`Code`]: the numbered results that all of them speak in.
 
 mod code;
 mod digest;
 
 pub mod agent;
+pub mod burn;
 pub mod control;
 pub mod raft;
 pub mod routing;
--- a/crates/core/src/raft/replica.rs
+++ b/crates/core/src/raft/replica.rs
@@ -21,9 +21,9 @@
 use super::peer::Peer;
 
 /// Time between a leader's heartbeats.
-pub const HEARTBEAT: Duration = Duration::from_millis(100);
+pub const HEARTBEAT: Duration = Duration::from_millis(300);
 /// Least time without word from a leader before a replica stands for election.
-pub const ELECTION_MIN: Duration = Duration::from_millis(500);
+pub const ELECTION_MIN: Duration = Duration::from_millis(900);
 /// Most of the random time added to it.
 const ELECTION_SPREAD: Duration = Duration::from_millis(500);
 /// A leader without word from a quorum for this long steps down.
--- a/crates/core/src/routing/directory.rs
+++ b/crates/core/src/routing/directory.rs
@@ -10,7 +10,7 @@
 use super::Load;
 
 /// How long an endpoint is believed without a new announcement.
-pub const LEASE: Duration = Duration::from_secs(3);
+pub const LEASE: Duration = Duration::from_secs(4);
 
 /// How long a silent endpoint stays in the arena before its place is used again.
 const FORGET: Duration = Duration::from_secs(120);
@@ -41,9 +41,9 @@
 
 impl Directory {
     /// Takes an announcement, direct or passed on.
-    pub fn merge(&mut self, now: Instant, said: Announcement) -> Merged {
+    pub fn merge(&mut self, now: Instant, said: Announcement, direct: bool) -> Merged {
         let Some(&key) = self.by_name.get(&said.name) else {
-            return Merged::New(self.insert(now, said));
+            return Merged::New(self.insert(now, said, direct));
         };
         let Some(old) = self.slots[key.0 as usize].as_ref() else { return Merged::Stale };
         let other_address = old.said.address != said.address;
@@ -56,6 +56,9 @@
         }
         let restarted = said.incarnation != old.said.incarnation;
         self.update(now, key, said, restarted);
+        if let Some(e) = self.get_mut(key) {
+            e.direct = direct;
+        }
         if restarted { Merged::New(key) } else { Merged::Fresh(key) }
     }
 
@@ -110,7 +113,7 @@
         }
     }
 
-    fn insert(&mut self, now: Instant, said: Announcement) -> EndpointKey {
+    fn insert(&mut self, now: Instant, said: Announcement, direct: bool) -> EndpointKey {
         let free = self.slots.iter().position(Option::is_none);
         let index = free.unwrap_or_else(|| {
             self.slots.push(None);
@@ -127,6 +130,7 @@
             own_at_report: 0,
             pause_until: None,
             misses: 0,
+            direct,
             barred: false,
             revision: self.revision,
         });
--- a/crates/core/src/routing/endpoint.rs
+++ b/crates/core/src/routing/endpoint.rs
@@ -118,6 +118,8 @@
     pub pause_until: Option<Instant>,
     /// Consecutive refusals and failures.
     pub misses: u32,
+    /// Whether it announces itself to this entry, and not only to others.
+    pub direct: bool,
     /// Taken out by configuration: its domain is out, or it has been told to drain.
     pub barred: bool,
     /// Rises with every change; gossip sends what is above the last one sent.
--- a/crates/core/src/routing/shard.rs
+++ b/crates/core/src/routing/shard.rs
@@ -74,6 +74,8 @@
     Refused(Code),
     /// The connection or the engine failed.
     Failed,
+    /// The place was given back without an outcome, because the caller left.
+    Unused,
 }
 
 /// First pause after a refusal or a failure; it doubles with every further one.
@@ -258,7 +260,7 @@
             e.pause_until = None;
         }
         Ended::Refused(Code::EndpointLeaving) => e.said.load.draining = true,
-        Ended::Refused(Code::SuspectBusy) => {}
+        Ended::Refused(Code::SuspectBusy) | Ended::Unused => {}
         Ended::Refused(_) | Ended::Failed => {
             e.misses = (e.misses + 1).min(8);
             let pause = PAUSE_FIRST * (1 << (e.misses - 1));
--- /dev/null
+++ b/crates/entry/src/log_driver.rs
@@ -0,0 +1,347 @@
+//! The driver of the replicated log: one thread that syncs, sends and applies.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use bytes::Bytes;
+use crocustally_core::control::Machine;
+use crocustally_core::raft::Candidate;
+use crocustally_core::raft::Entry as LogEntry;
+use crocustally_core::raft::Members;
+use crocustally_core::raft::Message;
+use crocustally_core::raft::Payload;
+use crocustally_core::raft::ProposeError;
+use crocustally_core::raft::Ready;
+use crocustally_core::raft::Record;
+use crocustally_core::raft::Replica;
+use crocustally_core::raft::ReplicaId;
+use crocustally_core::raft::Role;
+use crocustally_core::raft::next_change;
+use crocustally_net::Clock;
+use crocustally_net::Journal;
+use crocustally_wire::Outcome;
+
+/// Time between ticks of the replica.
+const TICK: Duration = Duration::from_millis(20);
+/// Log size at which a snapshot replaces it, in bytes.
+const COMPACT_BYTES: u64 = 4 * 1024 * 1024;
+/// Log length at which a snapshot replaces it.
+const COMPACT_ENTRIES: usize = 8192;
+/// Events taken together before one sync.
+const EVENTS_PER_SYNC: usize = 512;
+
+/// What the driver is told.
+#[derive(Debug)]
+pub(crate) enum Event {
+    /// Messages from another replica.
+    Messages {
+        /// Its identity.
+        from: ReplicaId,
+        /// What it says, in order.
+        messages: Vec<Message>,
+    },
+    /// A command for the log.
+    Propose {
+        /// The command.
+        command: Bytes,
+        /// Where the outcome goes; dropped when this replica cannot decide it.
+        reply: Sender<Outcome>,
+    },
+    /// A replica has made itself known.
+    Known {
+        /// Its identity.
+        id: ReplicaId,
+        /// Name of its instance.
+        name: String,
+    },
+    /// All initial voters are reachable and empty: found the group.
+    Found(Members),
+    /// Give up leadership and end.
+    Stop,
+}
+
+/// What the driver tells the rest of the process.
+#[derive(Clone, Debug)]
+pub struct LogView {
+    /// The replicated state here.
+    pub machine: Arc<Machine>,
+    /// What this replica is doing.
+    pub role: Role,
+    /// Its term.
+    pub term: u64,
+    /// The leader it knows.
+    pub leader: Option<ReplicaId>,
+    /// Index up to which entries are committed.
+    pub commit: u64,
+    /// Who votes and learns.
+    pub members: Members,
+    /// Whether the log has anything in it.
+    pub has_log: bool,
+}
+
+/// Sends and publishes on behalf of the driver.
+pub(crate) trait Outside: Send {
+    /// Sends messages to another replica, without waiting.
+    fn send(&self, to: ReplicaId, messages: Vec<Message>);
+
+    /// Takes the newest view.
+    fn publish(&self, view: LogView);
+}
+
+/// One replica with its disk and its state machine.
+pub(crate) struct LogDriver<O> {
+    replica: Replica,
+    machine: Arc<Machine>,
+    journal: Journal,
+    clock: Arc<dyn Clock>,
+    rx: Receiver<Event>,
+    outside: O,
+    voters: usize,
+    may_vote: Vec<String>,
+    waiting: BTreeMap<u64, (u64, Sender<Outcome>)>,
+    names: HashMap<ReplicaId, String>,
+    heard: HashMap<ReplicaId, Instant>,
+    led_since: Option<Instant>,
+    stopped: bool,
+}
+
+impl<O: Outside> LogDriver<O> {
+    /// A driver for what was recovered from disk.
+    #[allow(clippy::too_many_arguments)]
+    pub(crate) fn new(
+        replica: Replica,
+        journal: Journal,
+        clock: Arc<dyn Clock>,
+        rx: Receiver<Event>,
+        outside: O,
+        voters: usize,
+        may_vote: Vec<String>,
+    ) -> Self {
+        let state = &replica.log().snapshot().state;
+        // A snapshot was checked against its checksum, so bytes that do not decode are a fault of
+        // the program and not of the disk.
+        let machine =
+            if state.is_empty() { Ok(Machine::default()) } else { Machine::restore(state) };
+        let machine = Arc::new(machine.unwrap_or_default());
+        Self {
+            replica,
+            machine,
+            journal,
+            clock,
+            rx,
+            outside,
+            voters,
+            may_vote,
+            waiting: BTreeMap::new(),
+            names: HashMap::new(),
+            heard: HashMap::new(),
+            led_since: None,
+            stopped: false,
+        }
+    }
+
+    /// Runs until it is told to stop; a disk that fails ends the process's part in the log.
+    pub(crate) fn run(mut self) {
+        self.advance();
+        while !self.stopped {
+            let first = async_io::block_on(crocustally_net::timeout(TICK, self.rx.recv()));
+            let now = self.clock.now();
+            match first {
+                Some(Ok(event)) => self.take(now, event),
+                Some(Err(_)) => return,
+                None => {}
+            }
+            for _ in 0..EVENTS_PER_SYNC {
+                let Ok(event) = self.rx.try_recv() else { break };
+                self.take(now, event);
+            }
+            self.replica.tick(now);
+            self.repair(now);
+            self.advance();
+        }
+    }
+
+    fn take(&mut self, now: Instant, event: Event) {
+        match event {
+            Event::Messages { from, messages } => {
+                self.heard.insert(from, now);
+                for m in messages {
+                    self.replica.message(now, from, m);
+                }
+            }
+            Event::Propose { command, reply } => self.propose(now, command, reply),
+            Event::Known { id, name } => {
+                self.heard.insert(id, now);
+                self.names.insert(id, name);
+            }
+            Event::Found(members) => {
+                if self.replica.log().last_index() == 0 {
+                    log::info!("founding the replicated log with {:?}", members.voters);
+                    self.replica.found(members);
+                }
+            }
+            Event::Stop => {
+                self.replica.resign(now);
+                self.stopped = true;
+            }
+        }
+    }
+
+    fn propose(&mut self, now: Instant, command: Bytes, reply: Sender<Outcome>) {
+        match self.replica.propose(now, command) {
+            Ok(index) => {
+                self.waiting.insert(index, (self.replica.term(), reply));
+            }
+            Err(ProposeError::NotLeader(_) | ProposeError::Busy) => {}
+        }
+    }
+
+    /// Syncs, sends and applies everything that is ready.
+    fn advance(&mut self) {
+        let role = self.replica.role();
+        let ready = self.replica.ready();
+        let changed = ready.snapshot.is_some() || !ready.committed.is_empty();
+        if let Err(e) = self.store(&ready) {
+            log::error!("{} {}: {}", e.code.number(), e.code.text(), e.file.display());
+            self.stopped = true;
+            return;
+        }
+        self.send(ready.messages);
+        let version = self.machine.config().version;
+        let last = ready.committed.last().map(|e| e.index);
+        let outcomes = self.apply(ready.committed);
+        if self.machine.config().version != version
+            && let Some(index) = last
+            && self.journal.append(vec![Record::Commit(index)]).is_err()
+        {
+            self.stopped = true;
+            return;
+        }
+        self.note_role(role);
+        if changed || role != self.replica.role() {
+            self.publish();
+        }
+        for (reply, outcome) in outcomes {
+            let _ = reply.try_send(outcome);
+        }
+        self.compact();
+    }
+
+    fn store(&mut self, ready: &Ready) -> Result<(), crocustally_net::JournalError> {
+        if let Some(s) = &ready.snapshot {
+            if let Ok(machine) = Machine::restore(&s.state) {
+                self.machine = Arc::new(machine);
+            }
+            let (hard, log) = (self.replica.hard_state(), self.replica.log());
+            return self.journal.replace(hard, s.index, log);
+        }
+        self.journal.append(ready.records.clone())
+    }
+
+    fn send(&self, messages: Vec<(ReplicaId, Message)>) {
+        let mut by_peer: BTreeMap<ReplicaId, Vec<Message>> = BTreeMap::new();
+        for (to, m) in messages {
+            by_peer.entry(to).or_default().push(m);
+        }
+        for (to, messages) in by_peer {
+            self.outside.send(to, messages);
+        }
+    }
+
+    fn apply(&mut self, committed: Vec<LogEntry>) -> Vec<(Sender<Outcome>, Outcome)> {
+        let mut outcomes = Vec::new();
+        for e in committed {
+            let waiting = self.waiting.remove(&e.index);
+            let Payload::Command(command) = &e.payload else { continue };
+            let outcome = Arc::make_mut(&mut self.machine).apply(e.index, command);
+            if let Some((term, reply)) = waiting
+                && term == e.term
+            {
+                outcomes.push((reply, outcome));
+            }
+        }
+        outcomes
+    }
+
+    /// A replica that no longer leads cannot say what becomes of what it proposed.
+    fn note_role(&mut self, before: Role) {
+        let now = self.replica.role();
+        if now != Role::Leader {
+            self.waiting.clear();
+            self.led_since = None;
+        } else if self.led_since.is_none() {
+            self.led_since = Some(self.clock.now());
+        }
+        if before != now {
+            let term = self.replica.term();
+            log::info!("replica {}: {before:?} to {now:?} in term {term}", self.replica.id().0);
+        }
+    }
+
+    fn publish(&self) {
+        self.outside.publish(LogView {
+            machine: self.machine.clone(),
+            role: self.replica.role(),
+            term: self.replica.term(),
+            leader: self.replica.leader(),
+            commit: self.replica.commit(),
+            members: self.replica.members().clone(),
+            has_log: self.replica.log().last_index() > 0,
+        });
+    }
+
+    fn compact(&mut self) {
+        let large = self.journal.bytes() > COMPACT_BYTES;
+        if !large && self.replica.log().len() < COMPACT_ENTRIES {
+            return;
+        }
+        self.replica.compact(self.machine.state());
+        let (hard, commit) = (self.replica.hard_state(), self.replica.commit());
+        if let Err(e) = self.journal.replace(hard, commit, self.replica.log()) {
+            log::error!("{} {}: {}", e.code.number(), e.code.text(), e.file.display());
+            self.stopped = true;
+        }
+    }
+
+    /// As a settled leader, takes the next step of a repair.
+    fn repair(&mut self, now: Instant) {
+        let Some(since) = self.led_since else { return };
+        if !self.replica.settled() {
+            return;
+        }
+        let known = self.known(now, since);
+        let Some(next) = next_change(self.replica.members(), self.voters, &known) else { return };
+        let members = self.replica.members();
+        let added = next.all().any(|id| !members.contains(id));
+        if self.replica.change_members(now, next.clone()).is_ok() {
+            log::info!(
+                "members: voters {:?}, learners {:?} ({})",
+                next.voters,
+                next.learners,
+                if added { "one added" } else { "repair" }
+            );
+        }
+    }
+
+    fn known(&self, now: Instant, since: Instant) -> BTreeMap<ReplicaId, Candidate> {
+        let last = self.replica.log().last_index();
+        let own = self.replica.id();
+        let mut known = BTreeMap::new();
+        let ids = self.names.keys().copied().chain(self.replica.members().all());
+        for id in ids {
+            let name = self.names.get(&id).cloned().unwrap_or_default();
+            let heard = self.heard.get(&id).copied().unwrap_or(since).max(since);
+            let silent =
+                if id == own { Duration::ZERO } else { now.saturating_duration_since(heard) };
+            let behind = self.replica.progress(id).map_or(0, |(m, _)| last.saturating_sub(m));
+            let may_vote = self.may_vote.contains(&name);
+            known.insert(id, Candidate { name, may_vote, silent, behind });
+        }
+        known
+    }
+}
--- /dev/null
+++ b/crates/entry/src/shard.rs
@@ -0,0 +1,160 @@
+//! [`Shard`]: one service's routing state under its own lock, with the requests that wait on it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Instant;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use crocustally_core::Code;
+use crocustally_core::routing::Answer;
+use crocustally_core::routing::Ask;
+use crocustally_core::routing::Ended;
+use crocustally_core::routing::EndpointKey;
+use crocustally_core::routing::Grants;
+use crocustally_core::routing::Load;
+use crocustally_core::routing::ServiceShard;
+use crocustally_core::routing::WaiterKey;
+use crocustally_net::Clock;
+
+type Word = Result<EndpointKey, Code>;
+
+/// Routing state that all threads share.
+pub(crate) struct Shard {
+    inner: Mutex<Inner>,
+    clock: Arc<dyn Clock>,
+}
+
+struct Inner {
+    core: ServiceShard,
+    waiters: HashMap<WaiterKey, Sender<Word>>,
+}
+
+/// A place counted at one endpoint, given back when it is dropped.
+pub(crate) struct Place {
+    shard: Arc<Shard>,
+    /// The endpoint.
+    pub(crate) key: EndpointKey,
+    /// Name of the endpoint.
+    pub(crate) name: String,
+    /// Address of its agent.
+    pub(crate) address: String,
+    /// Incarnation of its agent.
+    pub(crate) incarnation: u64,
+    /// Start number of its engine, as far as it is known.
+    pub(crate) engine_start: u64,
+    begun: Instant,
+    given_back: bool,
+}
+
+impl Place {
+    /// Gives the place back with what was learnt.
+    pub(crate) fn finish(mut self, ended: Ended, load: Option<Load>) {
+        self.give_back(ended, load);
+    }
+
+    fn give_back(&mut self, ended: Ended, load: Option<Load>) {
+        if self.given_back {
+            return;
+        }
+        self.given_back = true;
+        let now = self.shard.clock.now();
+        let held = now.saturating_duration_since(self.begun);
+        self.shard.update(|core| core.finished(now, self.key, ended, load, held));
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.give_back(Ended::Unused, None);
+    }
+}
+
+/// Takes a waiter out again when its caller leaves.
+struct Waiting<'a> {
+    shard: &'a Arc<Shard>,
+    waiter: WaiterKey,
+    rx: Receiver<Word>,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut inner = self.shard.lock();
+        if inner.waiters.remove(&self.waiter).is_some() {
+            inner.core.cancel(self.waiter);
+        }
+        drop(inner);
+        if let Ok(Ok(key)) = self.rx.try_recv() {
+            let now = self.shard.clock.now();
+            let zero = std::time::Duration::ZERO;
+            self.shard.update(|core| core.finished(now, key, Ended::Unused, None, zero));
+        }
+    }
+}
+
+impl Shard {
+    pub(crate) fn new(core: ServiceShard, clock: Arc<dyn Clock>) -> Self {
+        Self { inner: Mutex::new(Inner { core, waiters: HashMap::new() }), clock }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Reads or changes the state without granting anything.
+    pub(crate) fn with<T>(&self, f: impl FnOnce(&mut ServiceShard) -> T) -> T {
+        f(&mut self.lock().core)
+    }
+
+    /// Changes the state and passes on the grants that follow.
+    pub(crate) fn update(&self, f: impl FnOnce(&mut ServiceShard) -> Grants) {
+        let mut inner = self.lock();
+        let mut grants = f(&mut inner.core);
+        while let Some(grant) = grants.pop() {
+            let waiter = inner.waiters.remove(&grant.waiter);
+            let taken = waiter.is_some_and(|tx| tx.try_send(grant.answer).is_ok());
+            if let (false, Ok(key)) = (taken, grant.answer) {
+                let now = self.clock.now();
+                let zero = std::time::Duration::ZERO;
+                grants.extend(inner.core.finished(now, key, Ended::Unused, None, zero));
+            }
+        }
+    }
+
+    /// Finds a place, waiting for room as long as the request may.
+    pub(crate) async fn place(self: &Arc<Self>, ask: &Ask<'_>) -> Result<Place, Code> {
+        let (waiter, rx) = {
+            let mut inner = self.lock();
+            match inner.core.ask(self.clock.now(), ask) {
+                Answer::Send(key) => return self.taken(&inner, key),
+                Answer::Refuse(code) => return Err(code),
+                Answer::Wait(waiter) => {
+                    let (tx, rx) = async_channel::bounded(1);
+                    inner.waiters.insert(waiter, tx);
+                    (waiter, rx)
+                }
+            }
+        };
+        let waiting = Waiting { shard: self, waiter, rx };
+        let word = waiting.rx.recv().await.unwrap_or(Err(Code::Overloaded));
+        drop(waiting);
+        self.taken(&self.lock(), word?)
+    }
+
+    fn taken(self: &Arc<Self>, inner: &Inner, key: EndpointKey) -> Result<Place, Code> {
+        let e = inner.core.directory.get(key).ok_or(Code::NoEndpoint)?;
+        Ok(Place {
+            shard: self.clone(),
+            key,
+            name: e.said.name.clone(),
+            address: e.said.address.clone(),
+            incarnation: e.said.incarnation,
+            engine_start: e.said.load.engine_start,
+            begun: self.clock.now(),
+            given_back: false,
+        })
+    }
+}
--- /dev/null
+++ b/crates/net/src/channel.rs
@@ -0,0 +1,148 @@
+//! [`Channel`]: a connection to another process that reopens itself.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use async_lock::Mutex;
+use async_net::TcpStream;
+use hyper::Request;
+use hyper::Response;
+use hyper::Uri;
+use hyper::body::Incoming;
+use hyper::client::conn::http2;
+use hyper::client::conn::http2::SendRequest;
+use smol_hyper::rt::FuturesIo;
+use smol_hyper::rt::SmolExecutor;
+use smol_hyper::rt::SmolTimer;
+use tonic::body::Body;
+use tower_service::Service;
+
+use crate::Runtime;
+use crate::grpc_server::CONNECTION_WINDOW;
+use crate::grpc_server::KEEP_ALIVE;
+use crate::grpc_server::KEEP_ALIVE_TIMEOUT;
+use crate::grpc_server::STREAM_WINDOW;
+use crate::timeout;
+
+/// Longest time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// Why a call did not get through.
+#[derive(Debug)]
+pub enum ChannelError {
+    /// No connection could be opened, so nothing was sent.
+    NotConnected,
+    /// The connection broke; the call may have arrived.
+    Broken(hyper::Error),
+}
+
+impl std::fmt::Display for ChannelError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::NotConnected => f.write_str("no connection"),
+            Self::Broken(e) => write!(f, "connection broke: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for ChannelError {}
+
+/// Calls to one address over one HTTP/2 connection, with heartbeats in both directions.
+///
+/// A connection that goes silent is dropped within [`KEEP_ALIVE`] plus [`KEEP_ALIVE_TIMEOUT`], its
+/// calls fail, and the next call opens a new one; an idle connection costs no heartbeats. [`Channel::fresh`] gives a channel that does not
+/// share the old connection, for asking what became of a call.
+#[derive(Clone, Debug)]
+pub struct Channel {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    rt: Runtime,
+    address: SocketAddr,
+    open: Mutex<Option<SendRequest<Body>>>,
+}
+
+impl Channel {
+    /// A channel that connects with its first call.
+    pub fn new(rt: &Runtime, address: SocketAddr) -> Self {
+        let inner = Inner { rt: rt.clone(), address, open: Mutex::new(None) };
+        Self { inner: Arc::new(inner) }
+    }
+
+    /// Another channel to the same address.
+    pub fn fresh(&self) -> Self {
+        Self::new(&self.inner.rt, self.inner.address)
+    }
+
+    /// The address it calls.
+    pub fn address(&self) -> SocketAddr {
+        self.inner.address
+    }
+
+    /// The origin that generated clients want.
+    pub fn origin(&self) -> Uri {
+        let text = format!("http://{}", self.inner.address);
+        text.parse().unwrap_or_else(|_| Uri::from_static("http://127.0.0.1"))
+    }
+
+    async fn sender(&self) -> Result<SendRequest<Body>, ChannelError> {
+        let mut open = self.inner.open.lock().await;
+        if let Some(tx) = open.as_ref()
+            && !tx.is_closed()
+        {
+            return Ok(tx.clone());
+        }
+        *open = None;
+        let tx = timeout(CONNECT_TIMEOUT, self.connect()).await;
+        let tx = tx.unwrap_or(Err(ChannelError::NotConnected))?;
+        *open = Some(tx.clone());
+        Ok(tx)
+    }
+
+    async fn connect(&self) -> Result<SendRequest<Body>, ChannelError> {
+        let stream = TcpStream::connect(self.inner.address).await;
+        let stream = stream.map_err(|_| ChannelError::NotConnected)?;
+        let _ = stream.set_nodelay(true);
+        let rt = &self.inner.rt;
+        let mut builder = http2::Builder::new(SmolExecutor::new(rt.clone()));
+        builder
+            .timer(SmolTimer::new())
+            .keep_alive_interval(Some(KEEP_ALIVE))
+            .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
+            .initial_stream_window_size(STREAM_WINDOW)
+            .initial_connection_window_size(CONNECTION_WINDOW);
+        let (tx, conn) = builder
+            .handshake(FuturesIo::new(stream))
+            .await
+            .map_err(|_| ChannelError::NotConnected)?;
+        rt.spawn(async move {
+            let _ = conn.await;
+        });
+        Ok(tx)
+    }
+}
+
+impl Service<Request<Body>> for Channel {
+    type Response = Response<Incoming>;
+    type Error = ChannelError;
+    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, ChannelError>> + Send>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), ChannelError>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, req: Request<Body>) -> Self::Future {
+        let this = self.clone();
+        Box::pin(async move {
+            let mut tx = this.sender().await?;
+            tx.send_request(req).await.map_err(ChannelError::Broken)
+        })
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,1 +1,59 @@
-//! Stub.
+//! The edges of a process: network, disk, clock, settings, logs and metrics.
+//!
+//! The traits of the system live here and nowhere else; below are only decisions, above only
+//! daemons.
+//!
+//! * [`Runtime`] and [`Shutdown`]: threads, and a planned stop that cuts nothing.
+//! * [`Channel`] and [`serve_grpc`]: calls between the system's processes.
+//! * [`serve_http`] and [`HttpClient`]: callers in front, engines and services behind.
+//! * [`Journal`]: the write-ahead log and snapshots under the data folder.
+//! * [`Clock`]: time, passed in.
+
+mod admin;
+mod channel;
+mod clock;
+mod coded_io;
+mod data_folder;
+mod grpc_server;
+mod http_client;
+mod http_server;
+mod journal;
+mod operator_client;
+mod runtime;
+mod settings;
+mod shutdown;
+mod telemetry;
+
+pub use admin::AdminSettings;
+pub use admin::AdminState;
+pub use admin::serve_admin;
+pub use channel::Channel;
+pub use channel::ChannelError;
+pub use clock::Clock;
+pub use clock::FakeClock;
+pub use clock::SystemClock;
+pub use coded_io::RUN_HEADER;
+pub use data_folder::DataFolder;
+pub use grpc_server::serve_grpc;
+pub use http_client::HttpClient;
+pub use http_client::HttpError;
+pub use http_server::HttpLimits;
+pub use http_server::ResponseBody;
+pub use http_server::coded_response;
+pub use http_server::full_body;
+pub use http_server::serve_http;
+pub use journal::Journal;
+pub use journal::JournalError;
+pub use journal::Recovered;
+pub use operator_client::OperatorClient;
+pub use runtime::Runtime;
+pub use runtime::sleep;
+pub use runtime::timeout;
+pub use settings::SettingsError;
+pub use settings::load_settings;
+pub use settings::parse_address;
+pub use shutdown::Busy;
+pub use shutdown::Shutdown;
+pub use telemetry::LogFormat;
+pub use telemetry::init_logs;
+pub use telemetry::metrics_handle;
--- /dev/null
+++ b/crates/net/src/shutdown.rs
@@ -0,0 +1,121 @@
+//! [`Shutdown`]: a planned stop, which waits for the last request.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_signal::Signal;
+use async_signal::Signals;
+use futures_lite::StreamExt;
+
+use crate::Runtime;
+use crate::sleep;
+
+/// How often a stopping process looks whether its last request has ended.
+const POLL: Duration = Duration::from_millis(10);
+
+/// Shared by everything in a process that a planned stop concerns.
+#[derive(Clone, Debug, Default)]
+pub struct Shutdown {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    asked: AtomicBool,
+    busy: AtomicUsize,
+    connections: AtomicUsize,
+    waiting: event_listener::Event,
+}
+
+/// One request under way; the process does not end before it is dropped.
+#[derive(Debug)]
+pub struct Busy {
+    inner: Arc<Inner>,
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.inner.busy.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// One open connection; a finished stop has let it flush.
+#[derive(Debug)]
+pub(crate) struct Open {
+    inner: Arc<Inner>,
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.inner.connections.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Shutdown {
+    /// Asks for the stop on SIGTERM or SIGINT.
+    pub fn on_signals(&self, rt: &Runtime) {
+        let this = self.clone();
+        rt.spawn(async move {
+            let Ok(mut signals) = Signals::new([Signal::Term, Signal::Int]) else { return };
+            signals.next().await;
+            this.ask();
+        });
+    }
+
+    /// Asks for the stop.
+    pub fn ask(&self) {
+        self.inner.asked.store(true, Ordering::Release);
+        self.inner.waiting.notify(usize::MAX);
+    }
+
+    /// Whether the stop has been asked for.
+    pub fn asked(&self) -> bool {
+        self.inner.asked.load(Ordering::Acquire)
+    }
+
+    /// Waits until the stop is asked for.
+    pub async fn wait(&self) {
+        while !self.asked() {
+            let listener = self.inner.waiting.listen();
+            if self.asked() {
+                return;
+            }
+            listener.await;
+        }
+    }
+
+    /// Notes a request under way.
+    pub fn busy(&self) -> Busy {
+        self.inner.busy.fetch_add(1, Ordering::AcqRel);
+        Busy { inner: self.inner.clone() }
+    }
+
+    /// Requests under way.
+    pub fn busy_count(&self) -> usize {
+        self.inner.busy.load(Ordering::Acquire)
+    }
+
+    /// Waits until the stop is asked for and the last request has ended.
+    pub async fn drained(&self) {
+        self.wait().await;
+        while self.busy_count() > 0 {
+            sleep(POLL).await;
+        }
+    }
+
+    /// Waits until the last request has ended and its answer has left the process.
+    pub async fn finished(&self) {
+        self.drained().await;
+        while self.inner.connections.load(Ordering::Acquire) > 0 {
+            sleep(POLL).await;
+        }
+    }
+
+    pub(crate) fn connection(&self) -> Open {
+        self.inner.connections.fetch_add(1, Ordering::AcqRel);
+        Open { inner: self.inner.clone() }
+    }
+}
--- a/crates/bench/src/main.rs
+++ b/crates/programs/src/bin/crocustally.rs
@@ -1,3 +1,2 @@
 //! Stub.
-
 fn main() {}
--- /dev/null
+++ b/crates/programs/src/lib.rs
@@ -0,0 +1,1 @@
+//! Nothing but programs lives in this package.
