--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -102,6 +102,7 @@
     KeyExpired = 3004, 410, No, "The idempotency key is older than the retention time.";
     AttemptRevoked = 3005, 503, No, "The attempt was revoked before it started.";
     StillRunning = 3006, 409, Yes, "The request is still running under the same key.";
+    ClaimUnchecked = 3007, 503, Unknown, "No quorum: an earlier sending under this key may have run.";
     AnswerBroken = 4001, 502, Unknown, "The answer ended before its end mark.";
     Quarantined = 4002, 422, Unknown, "The request crashed two endpoints and is refused everywhere.";
     EngineFailed = 4003, 502, Unknown, "The engine broke off the request.";
--- a/crates/core/src/control/claims.rs
+++ b/crates/core/src/control/claims.rs
@@ -59,6 +59,19 @@
         self.grant(key, index, claim)
     }
 
+    /// Whether a key has a claim, and whose: the state, or a refusal, or neither when it has none.
+    pub fn lookup(&self, key: &[u8], digest: &[u8]) -> ClaimOutcome {
+        let Ok(key) = Digest::try_from(key) else { return refused(Code::BadKey, None) };
+        if self.expired.contains(&key) {
+            return refused(Code::KeyExpired, None);
+        }
+        match self.by_key.get(&key) {
+            Some(state) if state.digest != digest => refused(Code::KeyConflict, None),
+            Some(state) => refused(Code::StillRunning, Some(state.clone())),
+            None => refused(Code::Ok, None),
+        }
+    }
+
     /// Records the answer of an attempt, so that every entry can give it again.
     pub fn finish(&mut self, finish: &Finish) -> bool {
         let Ok(key) = Digest::try_from(&finish.key[..]) else { return false };
@@ -78,6 +91,11 @@
         self.by_key.len()
     }
 
+    /// Number of claims whose answer is kept.
+    pub fn finished(&self) -> usize {
+        self.by_key.values().filter(|s| s.finished).count()
+    }
+
     /// Whether no claim is kept.
     pub fn is_empty(&self) -> bool {
         self.by_key.is_empty()
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -50,6 +50,7 @@
                 self.suspects.cleared(&d);
                 OutcomeKind::Done(true)
             }
+            Some(Kind::Lookup(l)) => OutcomeKind::Claim(self.claims.lookup(&l.key, &l.digest)),
             None => OutcomeKind::Done(false),
         };
         Outcome { kind: Some(kind) }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -136,9 +136,7 @@
         let mut current = self.config.write().unwrap_or_else(PoisonError::into_inner);
         let version = current.version;
         if config.version >= version {
-            if config.version > version {
-                self.fold_local_out(&config);
-            }
+            self.fold_local_out(&config);
             *current = config;
         }
         assert!(current.version >= version, "a configuration version went back");
@@ -160,6 +158,16 @@
         self.bar_endpoints();
     }
 
+    /// Hears of domains that were taken out locally elsewhere.
+    ///
+    /// A teller with an older configuration may not know yet that the order has been folded in and
+    /// the domain returned since, so it is not believed; it will fold its order in by itself.
+    pub(crate) fn hear_local_out(&self, domains: &[String], version: u64) {
+        let config = self.config();
+        let news = domains.iter().filter(|d| version >= config.version && !config.domain_out(d));
+        news.for_each(|d| self.take_out_locally(d));
+    }
+
     /// Domains taken out locally and not yet by a ticket.
     pub(crate) fn local_out(&self) -> Vec<String> {
         lock(&self.local_out).iter().cloned().collect()
--- a/crates/entry/src/identify.rs
+++ b/crates/entry/src/identify.rs
@@ -22,6 +22,9 @@
 /// Longest idempotency key in bytes.
 const KEY_BYTES_MAX: usize = 255;
 
+/// How keys begin that were made here for callers that gave none.
+pub(crate) const MADE_KEY: &str = "crocustally-made-";
+
 /// How a request may be sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Class {
@@ -143,13 +146,18 @@
         return Ok(Class::Idempotent { stream: false });
     }
     let key = match headers.get("idempotency-key") {
-        Some(v) => v.to_str().map_err(|_| Code::BadKey)?.to_owned(),
-        None => format!("made-{:032x}", rand::random::<u128>()),
+        Some(v) => caller_key(v.to_str().map_err(|_| Code::BadKey)?)?,
+        None => format!("{MADE_KEY}{:032x}", rand::random::<u128>()),
     };
-    if key.is_empty() || key.len() > KEY_BYTES_MAX {
+    Ok(Class::Once { key })
+}
+
+/// A caller's key; one that looks like ours is refused, since ours are known to be new.
+fn caller_key(text: &str) -> Result<String, Code> {
+    if text.is_empty() || text.len() > KEY_BYTES_MAX || text.starts_with(MADE_KEY) {
         return Err(Code::BadKey);
     }
-    Ok(Class::Once { key })
+    Ok(text.to_owned())
 }
 
 /// Events are numbered from 0, and `last-event-id` names the last one that the caller has.
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -17,6 +17,7 @@
 use crocustally_wire::ClaimState;
 use crocustally_wire::Finish;
 use crocustally_wire::Head;
+use crocustally_wire::Lookup;
 use crocustally_wire::command::Kind;
 use crocustally_wire::outcome::Kind as OutcomeKind;
 use crocustally_wire::revoke_reply::Outcome;
@@ -29,6 +30,7 @@
 use crate::calls::Piece;
 use crate::front::WholeAnswer;
 use crate::identify::Identified;
+use crate::identify::MADE_KEY;
 use crate::shard::Place;
 
 /// Longest time to replicate a claim; a request whose claim fails has not run.
@@ -78,29 +80,21 @@
 
 impl Once<'_> {
     async fn run(&mut self) -> Result<WholeAnswer, Code> {
+        if let Some(outcome) = self.lookup_here()
+            && let Some(answer) = self.follow(outcome).await?
+        {
+            return Ok(answer);
+        }
         loop {
-            let place = self.place().await?;
-            self.tries += 1;
-            let outcome = self.claim(&place).await;
-            let outcome = match outcome {
-                Ok(outcome) => outcome,
-                Err(code) => {
-                    place.finish(Ended::Unused, None);
-                    return Err(code);
-                }
-            };
-            let state = outcome.state.clone();
-            let step = match state {
-                Some(state) if outcome.granted => self.attempt(place, &state).await,
-                Some(state) => {
-                    place.finish(Ended::Unused, None);
-                    self.resolve(&state).await
-                }
-                None => {
-                    place.finish(Ended::Unused, None);
-                    Step::Final(Code::try_from(outcome.code).unwrap_or(Code::NoQuorum))
-                }
+            let place = match self.place().await {
+                Ok(place) => place,
+                Err(code) => match self.refuse(code).await? {
+                    Some(answer) => return Ok(answer),
+                    None => continue,
+                },
             };
+            self.tries += 1;
+            let step = self.claim_and_send(place).await?;
             match step {
                 Step::Answer(whole) => return Ok(whole),
                 Step::Final(code) => return Err(code),
@@ -109,6 +103,68 @@
         }
     }
 
+    async fn claim_and_send(&mut self, place: Place) -> Result<Step, Code> {
+        let outcome = match self.claim(&place).await {
+            Ok(outcome) => outcome,
+            Err(_) => {
+                place.finish(Ended::Unused, None);
+                return Err(self.unchecked());
+            }
+        };
+        if outcome.granted
+            && let Some(state) = outcome.state
+        {
+            return Ok(self.attempt(place, &state).await);
+        }
+        place.finish(Ended::Unused, None);
+        Ok(match self.follow(outcome).await? {
+            Some(answer) => Step::Answer(answer),
+            None => Step::Next,
+        })
+    }
+
+    /// There is no place. Before that may be called not run, the log must say that no earlier
+    /// sending under the key has been claimed, or that the claimed attempt is the one known here
+    /// not to have run.
+    async fn refuse(&mut self, code: Code) -> Result<Option<WholeAnswer>, Code> {
+        let (key, digest) = (self.key.to_bytes(), self.id.digest.to_bytes());
+        let lookup = Kind::Lookup(Lookup { key, digest });
+        let outcome = self.entry.log.propose(lookup, CLAIM_TIMEOUT).await;
+        let Ok(Some(OutcomeKind::Claim(outcome))) = outcome.map(|o| o.kind) else {
+            return Err(self.unchecked());
+        };
+        let settled = outcome.state.as_ref().is_none_or(|s| s.attempt == self.after_attempt);
+        if settled && (outcome.code == 0 || outcome.state.is_some()) {
+            return Err(code);
+        }
+        self.follow(outcome).await
+    }
+
+    /// The refusal when the log cannot be asked: a key that was made here cannot have been used
+    /// before, a caller's own one can.
+    fn unchecked(&self) -> Code {
+        if self.text_key.starts_with(MADE_KEY) { Code::NoQuorum } else { Code::ClaimUnchecked }
+    }
+
+    /// What the replica here says of the key; it may be behind, but it is never wrong.
+    fn lookup_here(&self) -> Option<ClaimOutcome> {
+        let view = self.entry.log.view()?;
+        let outcome = view.machine.claims().lookup(&self.key.0, &self.id.digest.0);
+        (outcome.code != 0).then_some(outcome)
+    }
+
+    /// Goes after an attempt that somebody has claimed; none means that the next may be claimed.
+    async fn follow(&mut self, outcome: ClaimOutcome) -> Result<Option<WholeAnswer>, Code> {
+        let Some(state) = outcome.state else {
+            return Err(Code::try_from(outcome.code).unwrap_or(Code::NoQuorum));
+        };
+        match self.resolve(&state).await {
+            Step::Answer(whole) => Ok(Some(whole)),
+            Step::Final(code) => Err(code),
+            Step::Next => Ok(None),
+        }
+    }
+
     /// Finds a place within the time that the request may wait.
     async fn place(&mut self) -> Result<Place, Code> {
         let shard = self.entry.shard(&self.id.service);
--- a/crates/entry/src/operate.rs
+++ b/crates/entry/src/operate.rs
@@ -60,6 +60,8 @@
     pub domains_out: Vec<String>,
     /// Claims kept.
     pub claims: usize,
+    /// Claims whose answer is kept too.
+    pub claims_finished: usize,
     /// Requests refused everywhere.
     pub quarantined: usize,
     /// Everybody else.
@@ -115,6 +117,7 @@
             learners: view.as_ref().map(|v| names(&v.members.learners)).unwrap_or_default(),
             domains_out: out.chain(self.local_out()).collect(),
             claims: view.as_ref().map_or(0, |v| v.machine.claims().len()),
+            claims_finished: view.as_ref().map_or(0, |v| v.machine.claims().finished()),
             quarantined: self.suspects().quarantined().len(),
             instances: self.instances(config.version),
         }
--- a/crates/entry/src/peer_service.rs
+++ b/crates/entry/src/peer_service.rs
@@ -68,9 +68,7 @@
     async fn gossip(&self, req: Request<GossipRequest>) -> Result<Response<GossipReply>, Status> {
         let req = req.into_inner();
         self.entry.hear(&req.entry, req.config_version);
-        for domain in &req.local_out {
-            self.entry.take_out_locally(domain);
-        }
+        self.entry.hear_local_out(&req.local_out, req.config_version);
         for record in req.records {
             if let Ok(said) = Announcement::try_from(record) {
                 self.entry.merge(said, false);
