--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -1,5 +1,6 @@
 //! [`AgentSettings`]: what one agent is told at start.
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 
 use crocustally_core::agent::AdmissionLimits;
@@ -24,6 +25,9 @@
     pub kind: ServiceKind,
     /// `ip:port` to listen on for entries.
     pub listen: String,
+    /// IP number that its connections to entries come from.
+    #[serde(default)]
+    pub source: Option<IpAddr>,
     /// `ip:port` that entries are told, where it differs from `listen`.
     #[serde(default)]
     pub advertise: Option<String>,
@@ -73,6 +77,8 @@
     pub kind: ServiceKind,
     /// Where it listens for entries.
     pub listen: SocketAddr,
+    /// IP number that its connections to entries come from.
+    pub source: Option<IpAddr>,
     /// What entries are told, where it differs from where it listens.
     pub advertise: Option<SocketAddr>,
     /// The engine beside it.
@@ -128,6 +134,7 @@
             service: raw.service,
             kind: raw.kind,
             listen,
+            source: raw.source,
             advertise: advertise.transpose()?,
             engine,
             entries,
--- /dev/null
+++ b/crates/bench/src/args.rs
@@ -0,0 +1,62 @@
+//! The command line of `crocustally-bench`.
+
+use std::process::ExitCode;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+use crocustally_net::Runtime;
+use serde_json::Value;
+
+use crate::domain;
+
+/// Threads of the tool itself: callers and stand-ins.
+const THREADS: usize = 4;
+
+fn command() -> Command {
+    let seed = Arg::new("seed").long("seed").default_value("1").value_parser(value_parser!(u64));
+    let json = Arg::new("json").long("json").action(ArgAction::SetTrue).help("One line of JSON");
+    let with = |name: &'static str, about: &'static str| {
+        Command::new(name).about(about).arg(seed.clone()).arg(json.clone())
+    };
+    Command::new("crocustally-bench")
+        .about("Load and experiments")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            with("domain", "Service while a failure domain leaves, is cut off and returns")
+                .arg(float("phase-seconds", "4"))
+                .arg(float("rate", "150")),
+        )
+}
+
+fn float(name: &'static str, default: &'static str) -> Arg {
+    Arg::new(name).long(name).default_value(default).value_parser(value_parser!(f64))
+}
+
+fn get<T: Copy + Send + Sync + 'static>(m: &ArgMatches, name: &str) -> T {
+    // Every argument that is asked for has a default, so it is always there.
+    m.get_one::<T>(name).copied().unwrap_or_else(|| unreachable!("argument {name}"))
+}
+
+/// Runs the tool; 1 when a promise was broken.
+pub fn run() -> ExitCode {
+    let matches = command().get_matches();
+    let rt = Runtime::start(THREADS);
+    let Some((name, m)) = matches.subcommand() else { return ExitCode::from(2) };
+    let seed = get::<u64>(m, "seed");
+    let (value, held) = match name {
+        "domain" => {
+            let (phase_s, rate) = (get::<f64>(m, "phase-seconds"), get::<f64>(m, "rate"));
+            async_io::block_on(domain::run(&rt, seed, phase_s, rate))
+        }
+        _ => (Value::Null, false),
+    };
+    if !m.get_flag("json") {
+        println!("{value:#}");
+    }
+    println!("{value}");
+    if held { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,11 @@
-//! Stub.
+//! The load and experiment tool: every figure that the project states comes out of it.
+//!
+//! Each experiment prints one JSON object as its last line and exits with 1 when a promise was
+//! broken. Engines, services and ranks are stand-ins; daemons are the real programs.
+
+mod args;
+mod domain;
+mod load;
+mod stats;
+
+pub use args::run;
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -221,7 +221,7 @@
         if let Some(channel) = agents.get(address) {
             return Some(channel.clone());
         }
-        let channel = Channel::new(&self.rt, address.parse().ok()?);
+        let channel = Channel::from(&self.rt, address.parse().ok()?, self.cfg.source);
         agents.insert(address.to_owned(), channel.clone());
         Some(channel)
     }
--- a/crates/entry/src/log_handle.rs
+++ b/crates/entry/src/log_handle.rs
@@ -114,7 +114,7 @@
         let mut peers = HashMap::new();
         for p in &cfg.peers {
             let (tx, rx) = async_channel::bounded(BATCHES_WAITING);
-            let channel = Channel::new(rt, p.address);
+            let channel = Channel::from(rt, p.address, cfg.source);
             receivers.push((p.name.clone(), rx));
             let peer = Peer { name: p.name.clone(), channel, tx: id.is_some().then_some(tx) };
             peers.insert(p.name.clone(), peer);
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -1,6 +1,7 @@
 //! [`EntrySettings`]: what one entry instance is told at start.
 
 use std::collections::BTreeSet;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -63,6 +64,9 @@
     pub listen: String,
     /// `ip:port` for the system's other processes.
     pub peer_listen: String,
+    /// IP number that its connections to other processes come from.
+    #[serde(default)]
+    pub source: Option<IpAddr>,
     /// All other entry instances.
     #[serde(default)]
     pub peers: Vec<RawPeer>,
@@ -112,6 +116,8 @@
     pub listen: SocketAddr,
     /// Where it listens for other processes.
     pub peer_listen: SocketAddr,
+    /// IP number that its connections to other processes come from.
+    pub source: Option<IpAddr>,
     /// All other entry instances.
     pub peers: Vec<PeerSettings>,
     /// Whether it founds the replicated log as a voter.
@@ -163,6 +169,7 @@
             domain: raw.domain,
             listen,
             peer_listen,
+            source: raw.source,
             peers,
             voter: raw.voter,
             data: raw.data,
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -1,5 +1,6 @@
 //! [`Plan`]: names, addresses and settings of a deployment.
 
+use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -67,6 +68,8 @@
     pub callers: SocketAddr,
     /// For the system's other processes.
     pub peers: SocketAddr,
+    /// What other processes are told instead, where a relay stands between.
+    pub advertise: Option<SocketAddr>,
     /// Whether it founds the log as a voter.
     pub voter: bool,
 }
@@ -99,6 +102,8 @@
     pub entries: Vec<EntryPlan>,
     /// Agents: assistants first, then portals.
     pub agents: Vec<AgentPlan>,
+    /// Addresses of relays that the test itself has started.
+    pub own_relays: Vec<SocketAddr>,
     /// Folder for data and settings; removed with the fleet.
     pub folder: PathBuf,
 }
@@ -106,29 +111,69 @@
 /// Number of founding voters.
 const VOTERS: usize = 3;
 const CALLER_PORT: u16 = 8000;
-const PEER_PORT: u16 = 7000;
-const AGENT_PORT: u16 = 7100;
-const ENGINE_PORT: u16 = 9000;
+const PEER_PORT: u16 = 8001;
+const AGENT_PORT: u16 = 8002;
+const ENGINE_PORT: u16 = 8003;
+const RELAY_PORT: u16 = 8004;
+const PORTS_PER_FLEET: u16 = 8;
+const ENTRY_HOST: usize = 1;
+const AGENT_HOST: usize = 10;
 
 /// The bearer key of the workspace with this number.
 pub fn workspace_key(i: usize) -> String {
     format!("key-of-ws{i}")
 }
 
+impl EntryPlan {
+    /// The peer address as other processes' settings name it.
+    fn told(&self) -> String {
+        format!("'{}'", self.advertise.unwrap_or(self.peers))
+    }
+}
+
+/// The relay's address before an instance.
+fn relay_of(address: SocketAddr, own_port: u16) -> SocketAddr {
+    SocketAddr::new(address.ip(), address.port() - own_port + RELAY_PORT)
+}
+
 impl Plan {
+    /// Puts a relay before every instance, so that failure domains can be cut off.
+    pub fn relayed(mut self) -> Self {
+        for e in &mut self.entries {
+            e.advertise = Some(relay_of(e.peers, PEER_PORT));
+        }
+        for a in &mut self.agents {
+            a.advertise = Some(relay_of(a.listen, AGENT_PORT));
+        }
+        self
+    }
+
+    /// Failure domain of the instance with this address.
+    pub fn domain_of(&self, ip: IpAddr) -> Option<&str> {
+        let entry = self.entries.iter().find(|e| e.peers.ip() == ip).map(|e| &e.domain);
+        let agent = || self.agents.iter().find(|a| a.listen.ip() == ip).map(|a| &a.domain);
+        entry.or_else(agent).map(String::as_str)
+    }
+
     /// A plan on a loopback address that no other fleet of this machine uses.
     pub fn new(settings: FleetSettings) -> Self {
         static COUNT: AtomicU8 = AtomicU8::new(1);
         let n = COUNT.fetch_add(1, Ordering::Relaxed);
         let pid = process::id();
-        let ip = Ipv4Addr::new(127, 1 + ((pid >> 8) & 0x7f) as u8, (pid & 0xff) as u8, n);
-        let at = |port: u16, i: usize| SocketAddr::from((ip, port + i as u16));
+        let ip = |host: usize| {
+            Ipv4Addr::new(127, 1 + ((pid >> 8) & 0x7f) as u8, (pid & 0xff) as u8, host as u8)
+        };
+        // Every instance has an address of its own, so that a relay can tell who connects.
+        let at = |port: u16, host: usize| {
+            SocketAddr::from((ip(host), port + PORTS_PER_FLEET * u16::from(n)))
+        };
         let domain = |i: usize| format!("zone-{}", (b'a' + (i % settings.domains) as u8) as char);
         let entries = (0..settings.entries).map(|i| EntryPlan {
             name: format!("entry-{}", i + 1),
             domain: domain(i),
-            callers: at(CALLER_PORT, i),
-            peers: at(PEER_PORT, i),
+            callers: at(CALLER_PORT, ENTRY_HOST + i),
+            peers: at(PEER_PORT, ENTRY_HOST + i),
+            advertise: None,
             voter: i < VOTERS,
         });
         let agents = (0..settings.assistants + settings.portals).map(|i| {
@@ -139,24 +184,32 @@
                 domain: domain(of_kind),
                 service: if model { "assistant" } else { "portal" },
                 kind: if model { "model" } else { "plain" },
-                listen: at(AGENT_PORT, i),
+                listen: at(AGENT_PORT, AGENT_HOST + i),
                 advertise: None,
-                engine: at(ENGINE_PORT, i),
+                engine: at(ENGINE_PORT, AGENT_HOST + i),
             }
         });
         let folder = std::env::temp_dir().join(format!("crocustally-{pid}-{n}"));
-        Self { entries: entries.collect(), agents: agents.collect(), folder, settings }
+        Self {
+            entries: entries.collect(),
+            agents: agents.collect(),
+            own_relays: Vec::new(),
+            folder,
+            settings,
+        }
     }
 
     /// The YAML of an entry instance.
     pub fn entry_yaml(&self, i: usize) -> String {
         let e = &self.entries[i];
         let mut out = format!(
-            "name: {}\ndomain: {}\nlisten: {}\npeer_listen: {}\nvoter: {}\ndata: {}\nthreads: {}\n",
+            "name: {}\ndomain: {}\nlisten: {}\npeer_listen: {}\nsource: {}\nvoter: {}\n\
+             data: {}\nthreads: {}\n",
             e.name,
             e.domain,
             e.callers,
             e.peers,
+            e.peers.ip(),
             e.voter,
             self.folder.join(&e.name).display(),
             self.settings.threads,
@@ -164,8 +217,9 @@
         let others = self.entries.iter().filter(|p| p.name != e.name);
         out.push_str("peers:\n");
         for p in others {
+            let address = p.advertise.unwrap_or(p.peers);
             let line =
-                format!("  - {{name: {}, address: '{}', voter: {}}}\n", p.name, p.peers, p.voter);
+                format!("  - {{name: {}, address: '{address}', voter: {}}}\n", p.name, p.voter);
             out.push_str(&line);
         }
         out
@@ -175,22 +229,23 @@
     pub fn agent_yaml(&self, i: usize) -> String {
         let a = &self.agents[i];
         let own = self.entries.iter().filter(|e| e.domain == a.domain);
-        let mut entries: Vec<String> = own.map(|e| format!("'{}'", e.peers)).collect();
+        let mut entries: Vec<String> = own.map(EntryPlan::told).collect();
         let outside: Vec<&EntryPlan> =
             self.entries.iter().filter(|e| e.domain != a.domain).collect();
         if let Some(e) = outside.get(i % outside.len().max(1)) {
-            entries.push(format!("'{}'", e.peers));
+            entries.push(e.told());
         }
         let advertise = a.advertise.map(|x| format!("advertise: {x}\n")).unwrap_or_default();
         let s = &self.settings;
         format!(
-            "name: {}\ndomain: {}\nservice: {}\nkind: {}\nlisten: {}\n{advertise}engine: {}\n\
-             entries: [{}]\nstart_limit: {}\nmax_limit: {}\nthreads: {}\n",
+            "name: {}\ndomain: {}\nservice: {}\nkind: {}\nlisten: {}\nsource: {}\n\
+             {advertise}engine: {}\nentries: [{}]\nstart_limit: {}\nmax_limit: {}\nthreads: {}\n",
             a.name,
             a.domain,
             a.service,
             a.kind,
             a.listen,
+            a.listen.ip(),
             a.engine,
             entries.join(", "),
             s.start_limit,
--- a/crates/fleet/src/processes.rs
+++ b/crates/fleet/src/processes.rs
@@ -7,6 +7,7 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -19,8 +20,10 @@
 use rustix::process::Signal;
 use rustix::process::kill_process;
 
+use crate::Cuts;
 use crate::Plan;
 use crate::Stand;
+use crate::TcpRelay;
 
 /// How often a wait looks again.
 const POLL: Duration = Duration::from_millis(20);
@@ -54,6 +57,8 @@
     pub plan: Plan,
     /// Its stand-ins, in this process.
     pub stand: Stand,
+    /// Domains that are cut off, where the plan has relays.
+    pub cuts: Cuts,
     programs: Programs,
     rt: Runtime,
     entries: Vec<Option<Child>>,
@@ -84,14 +89,31 @@
     }
 }
 
+/// Starts a relay before every instance of the plan that has one.
+async fn start_relays(rt: &Runtime, plan: &Plan, cuts: &Cuts) -> io::Result<()> {
+    let shared = Arc::new(plan.clone());
+    let entries = plan.entries.iter().map(|e| (e.advertise, e.peers));
+    let agents = plan.agents.iter().map(|a| (a.advertise, a.listen));
+    for (advertise, target) in entries.chain(agents) {
+        if let Some(listen) = advertise
+            && !plan.own_relays.contains(&listen)
+        {
+            TcpRelay::start_in(rt, &shared, listen, target, cuts).await?;
+        }
+    }
+    Ok(())
+}
+
 impl ProcessFleet {
     /// Starts the stand-ins and all processes.
     pub async fn start(rt: &Runtime, plan: Plan, programs: Programs) -> io::Result<Self> {
         std::fs::create_dir_all(&plan.folder)?;
         let stand = Stand::start(rt, &plan).await?;
+        let cuts = Cuts::default();
+        start_relays(rt, &plan, &cuts).await?;
         let entries = plan.entries.iter().map(|_| None).collect();
         let agents = plan.agents.iter().map(|_| None).collect();
-        let mut fleet = Self { plan, stand, programs, rt: rt.clone(), entries, agents };
+        let mut fleet = Self { plan, stand, cuts, programs, rt: rt.clone(), entries, agents };
         for i in 0..fleet.entries.len() {
             fleet.start_entry(i)?;
         }
--- a/crates/fleet/src/tcp_relay.rs
+++ b/crates/fleet/src/tcp_relay.rs
@@ -1,5 +1,6 @@
 //! [`TcpRelay`]: a network path between two processes that goes silent on demand.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -15,6 +16,8 @@
 use futures_lite::AsyncReadExt;
 use futures_lite::AsyncWriteExt;
 
+use crate::Plan;
+
 /// How often a silent direction looks whether it may go on.
 const POLL: Duration = Duration::from_millis(5);
 /// Bytes moved at once.
@@ -28,12 +31,34 @@
 }
 
 /// Forwards connections; existing ones can be made silent, without being closed, while new ones
-/// work, or all can be cut.
+/// work, or all between two failure domains can be cut.
 #[derive(Clone)]
 pub struct TcpRelay {
     address: SocketAddr,
     connections: Arc<Mutex<Vec<Arc<Faults>>>>,
-    cut: Arc<AtomicBool>,
+}
+
+/// Failure domains that are cut off from all others, shared by the relays of a deployment.
+#[derive(Clone, Debug, Default)]
+pub struct Cuts {
+    domains: Arc<Mutex<BTreeSet<String>>>,
+}
+
+impl Cuts {
+    /// Cuts a domain off, or connects it again.
+    pub fn set(&self, domain: &str, cut: bool) {
+        let mut domains = self.domains.lock().unwrap_or_else(PoisonError::into_inner);
+        if cut {
+            domains.insert(domain.to_owned());
+        } else {
+            domains.remove(domain);
+        }
+    }
+
+    fn between(&self, a: &str, b: &str) -> bool {
+        let domains = self.domains.lock().unwrap_or_else(PoisonError::into_inner);
+        a != b && (domains.contains(a) || domains.contains(b))
+    }
 }
 
 impl TcpRelay {
@@ -43,18 +68,43 @@
         listen: SocketAddr,
         target: SocketAddr,
     ) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(listen).await?;
-        let relay = Self {
-            address: listener.local_addr()?,
-            connections: Arc::new(Mutex::new(Vec::new())),
-            cut: Arc::new(AtomicBool::new(false)),
+        Self::start_between(rt, listen, target, |_| || false).await
+    }
+
+    /// Starts a relay before an instance of `plan`, which obeys the cuts between domains.
+    pub async fn start_in(
+        rt: &Runtime,
+        plan: &Arc<Plan>,
+        listen: SocketAddr,
+        target: SocketAddr,
+        cuts: &Cuts,
+    ) -> std::io::Result<Self> {
+        let (plan, cuts) = (plan.clone(), cuts.clone());
+        let own = plan.domain_of(target.ip()).unwrap_or_default().to_owned();
+        let cut_from = move |client: SocketAddr| {
+            let other = plan.domain_of(client.ip()).unwrap_or(&own).to_owned();
+            let (own, cuts) = (own.clone(), cuts.clone());
+            move || cuts.between(&own, &other)
         };
+        Self::start_between(rt, listen, target, cut_from).await
+    }
+
+    async fn start_between<C: Fn() -> bool + Clone + Send + Sync + 'static>(
+        rt: &Runtime,
+        listen: SocketAddr,
+        target: SocketAddr,
+        cut_from: impl Fn(SocketAddr) -> C + Send + 'static,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?;
+        let relay = Self { address, connections: Arc::new(Mutex::new(Vec::new())) };
         let (this, runtime) = (relay.clone(), rt.clone());
         rt.spawn(async move {
-            while let Ok((client, _)) = listener.accept().await {
+            while let Ok((client, from)) = listener.accept().await {
                 let faults = Arc::new(Faults::default());
                 this.lock().push(faults.clone());
-                runtime.spawn(forward(runtime.clone(), client, target, faults, this.cut.clone()));
+                let cut = cut_from(from);
+                runtime.spawn(forward(runtime.clone(), client, target, faults, cut));
             }
         });
         Ok(relay)
@@ -73,11 +123,6 @@
         }
     }
 
-    /// Cuts everything, existing and new, or lets it pass again.
-    pub fn set_cut(&self, cut: bool) {
-        self.cut.store(cut, Ordering::Release);
-    }
-
     fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Arc<Faults>>> {
         self.connections.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -88,9 +133,9 @@
     client: TcpStream,
     target: SocketAddr,
     faults: Arc<Faults>,
-    cut: Arc<AtomicBool>,
+    cut: impl Fn() -> bool + Clone + Send + Sync + 'static,
 ) {
-    while cut.load(Ordering::Acquire) {
+    while cut() {
         sleep(POLL).await;
     }
     let Ok(server) = TcpStream::connect(target).await else { return };
@@ -98,15 +143,13 @@
     let _ = server.set_nodelay(true);
     let (up, down) = (faults.clone(), faults);
     let (cut_up, cut_down) = (cut.clone(), cut);
-    let silent =
-        move || up.to_server_silent.load(Ordering::Acquire) || cut_up.load(Ordering::Acquire);
+    let silent = move || up.to_server_silent.load(Ordering::Acquire) || cut_up();
     rt.spawn(copy(client.clone(), server.clone(), silent));
-    let silent =
-        move || down.to_client_silent.load(Ordering::Acquire) || cut_down.load(Ordering::Acquire);
+    let silent = move || down.to_client_silent.load(Ordering::Acquire) || cut_down();
     copy(server, client, silent).await;
 }
 
-async fn copy(mut from: TcpStream, mut to: TcpStream, silent: impl Fn() -> bool) {
+async fn copy(mut from: TcpStream, mut to: TcpStream, silent: impl Fn() -> bool + Send) {
     let mut buf = vec![0; CHUNK_BYTES];
     loop {
         let n = match from.read(&mut buf).await {
--- a/crates/net/src/channel.rs
+++ b/crates/net/src/channel.rs
@@ -1,6 +1,7 @@
 //! [`Channel`]: a connection to another process that reopens itself.
 
 use std::future::Future;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -9,7 +10,6 @@
 use std::time::Duration;
 
 use async_lock::Mutex;
-use async_net::TcpStream;
 use hyper::Request;
 use hyper::Response;
 use hyper::Uri;
@@ -23,6 +23,7 @@
 use tower_service::Service;
 
 use crate::Runtime;
+use crate::connect::connect_from;
 use crate::grpc_server::CONNECTION_WINDOW;
 use crate::grpc_server::KEEP_ALIVE;
 use crate::grpc_server::KEEP_ALIVE_TIMEOUT;
@@ -66,19 +67,25 @@
 struct Inner {
     rt: Runtime,
     address: SocketAddr,
+    source: Option<IpAddr>,
     open: Mutex<Option<SendRequest<Body>>>,
 }
 
 impl Channel {
     /// A channel that connects with its first call.
     pub fn new(rt: &Runtime, address: SocketAddr) -> Self {
-        let inner = Inner { rt: rt.clone(), address, open: Mutex::new(None) };
+        Self::from(rt, address, None)
+    }
+
+    /// A channel whose connections come from `source`, on an instance with several addresses.
+    pub fn from(rt: &Runtime, address: SocketAddr, source: Option<IpAddr>) -> Self {
+        let inner = Inner { rt: rt.clone(), address, source, open: Mutex::new(None) };
         Self { inner: Arc::new(inner) }
     }
 
     /// Another channel to the same address.
     pub fn fresh(&self) -> Self {
-        Self::new(&self.inner.rt, self.inner.address)
+        Self::from(&self.inner.rt, self.inner.address, self.inner.source)
     }
 
     /// The address it calls.
@@ -107,7 +114,7 @@
     }
 
     async fn connect(&self) -> Result<SendRequest<Body>, ChannelError> {
-        let stream = TcpStream::connect(self.inner.address).await;
+        let stream = connect_from(self.inner.address, self.inner.source).await;
         let stream = stream.map_err(|_| ChannelError::NotConnected)?;
         let _ = stream.set_nodelay(true);
         let rt = &self.inner.rt;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -13,6 +13,7 @@
 mod channel;
 mod clock;
 mod coded_io;
+mod connect;
 mod data_folder;
 mod grpc_server;
 mod http_client;
--- a/crates/programs/src/bin/crocustally-bench.rs
+++ b/crates/programs/src/bin/crocustally-bench.rs
@@ -1,2 +1,7 @@
-//! Stub.
-fn main() {}
+//! `crocustally-bench`: a thin shell around [`crocustally_bench::run`].
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    crocustally_bench::run()
+}
--- a/crates/programs/tests/config.rs
+++ b/crates/programs/tests/config.rs
@@ -123,8 +123,8 @@
         assert!(fleet.wait_status(0, Duration::from_secs(40), repaired).await);
         fleet.lose_entry_disk(1);
         assert_eq!(fleet.decide(0, &ticket(3, "y"), LIMIT).await, Some(0));
-        let s = fleet.status(2).await.unwrap();
-        assert_eq!((s.claims, s.next_number), (1, 4));
+        let all_there = |s: &StatusReport| (s.claims, s.next_number) == (1, 4);
+        assert!(fleet.wait_status(2, LIMIT, all_there).await);
         let again = fleet.caller(2).send(&booked).await;
         assert_eq!(again.status, 200, "{again:?}");
         assert_eq!(fleet.stand.journal.runs("k"), 1);
--- a/crates/programs/tests/once.rs
+++ b/crates/programs/tests/once.rs
@@ -227,6 +227,7 @@
     listen.set_port(9500);
     let relay = TcpRelay::start(rt, listen, plan.agents[0].listen).await.unwrap();
     plan.agents[0].advertise = Some(listen);
+    plan.own_relays.push(listen);
     let fleet = ProcessFleet::start(rt, plan, programs()).await.unwrap();
     assert!(fleet.wait_ready(READY).await);
     (fleet, relay)
--- a/crates/programs/tests/whole.rs
+++ b/crates/programs/tests/whole.rs
@@ -130,6 +130,7 @@
             listen.set_port(9500);
             let relay = TcpRelay::start(&rt, listen, plan.agents[0].listen).await.unwrap();
             plan.agents[0].advertise = Some(listen);
+            plan.own_relays.push(listen);
             let fleet = ProcessFleet::start(&rt, plan, programs()).await.unwrap();
             assert!(fleet.wait_ready(READY).await);
             let answers = send_all(&rt, &fleet, 4);
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -85,7 +85,7 @@
     requests: u64,
     cancelled: u64,
     deaths: u64,
-    crashers: u64,
+    last_begun: Option<Instant>,
 }
 
 /// A running stand-in engine.
@@ -192,6 +192,11 @@
         self.lock().deaths
     }
 
+    /// When it last began a request.
+    pub fn last_begun(&self) -> Option<Instant> {
+        self.lock().last_begun
+    }
+
     /// Requests that were broken off by their caller.
     pub fn cancelled(&self) -> u64 {
         self.lock().cancelled
@@ -235,7 +240,6 @@
         let Some(place) = self.enter() else { return status(500, "dead") };
         if String::from_utf8_lossy(&body).contains(CRASH_WORD) {
             sleep(self.cfg.token_time * 2).await;
-            self.lock().crashers += 1;
             self.die();
             return status(500, "dead");
         }
@@ -254,6 +258,7 @@
         let mut state = self.lock();
         state.in_flight += 1;
         state.requests += 1;
+        state.last_begun = Some(Instant::now());
         state.most_in_flight = state.most_in_flight.max(state.in_flight);
         let cold = state.started.is_some_and(|t| t.elapsed() < self.cfg.cold_time);
         let start = state.start;
