Cuts cost no first tokens; expert placement and the switch at one step

Change: requests whose answer does not begin are sent elsewhere once, within the retry budget; endpoints that owe first bytes, or whose domain has a lost endpoint, are chosen last; losses are looked into behind the caller's back; a silent loss counts as a death only when the rest of its domain can be reached; heartbeats every 200 ms while calls wait. Committed entries reach followers at once. Found by the crash test on the way, each mended: suspects lost their mark when sent again; a hedged crasher was not watched; a quarantine reached other entries after the caller did; an engine known to be down was still chosen; a refusal after a run said not run.

--- a/crates/agent/src/engine_run.rs
+++ b/crates/agent/src/engine_run.rs
@@ -98,7 +98,7 @@
         let (response, tx) = match self.agent.client.send(req, self.claimed.is_some()).await {
             Ok(answered) => answered,
             Err(HttpError::NotSent) => {
-                self.agent.admission().failed(self.agent.clock.now());
+                self.agent.admission().set_engine_down(true);
                 return Ended::NotRun(Code::EngineUnreachable);
             }
             Err(HttpError::Broken(_)) => return Ended::Broken(Code::EngineFailed),
@@ -215,10 +215,7 @@
     /// Whether the engine that ran the attempt is gone, not only the connection.
     async fn engine_died(&self) -> bool {
         match health::look(&self.agent).await {
-            Some(h) => {
-                self.agent.admission().engine_started(h.start);
-                h.start != self.engine_start
-            }
+            Some(h) => h.start != self.engine_start,
             None => true,
         }
     }
--- a/crates/agent/src/health.rs
+++ b/crates/agent/src/health.rs
@@ -16,6 +16,8 @@
 
 /// Time between two looks at the engine.
 const PERIOD: Duration = Duration::from_millis(1000);
+/// The same while it cannot be reached.
+const PERIOD_DOWN: Duration = Duration::from_millis(100);
 /// Longest time for one look.
 const LOOK_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -32,17 +34,17 @@
 /// Looks at the engine until the process ends.
 pub(crate) async fn watch(agent: Arc<Agent>) {
     loop {
-        if let Some(health) = look(&agent).await {
-            agent.admission().engine_started(health.start);
-            if agent.cfg.kind == ServiceKind::Model {
-                agent.set_prefixes(health.prefixes);
-            }
+        if let Some(health) = look(&agent).await
+            && agent.cfg.kind == ServiceKind::Model
+        {
+            agent.set_prefixes(health.prefixes);
         }
-        sleep(PERIOD).await;
+        let down = agent.admission().engine_down();
+        sleep(if down { PERIOD_DOWN } else { PERIOD }).await;
     }
 }
 
-/// One look; `None` when the engine does not answer in time.
+/// One look, which admission learns from; `None` when the engine does not answer in time.
 pub(crate) async fn look(agent: &Agent) -> Option<Health> {
     let req = Request::get("/health").header("host", "engine").body(Full::<Bytes>::default());
     let req = req.ok()?;
@@ -52,5 +54,16 @@
         agent.client.keep(tx);
         serde_json::from_slice(&body).ok()
     };
-    timeout(LOOK_TIMEOUT, answer).await.flatten()
+    let health: Option<Health> = timeout(LOOK_TIMEOUT, answer).await.flatten();
+    let mut admission = agent.admission();
+    if admission.engine_down() != health.is_none() {
+        let word = if health.is_none() { "cannot be reached" } else { "is there" };
+        log::info!("{}: the engine {word}", agent.cfg.name);
+    }
+    admission.set_engine_down(health.is_none());
+    if let Some(h) = &health {
+        admission.engine_started(h.start);
+    }
+    drop(admission);
+    health
 }
--- a/crates/core/src/agent/admission.rs
+++ b/crates/core/src/agent/admission.rs
@@ -51,6 +51,7 @@
     smooth_first_s: f64,
     decreased: Option<Instant>,
     leaving: bool,
+    engine_down: bool,
     suspect_running: bool,
 }
 
@@ -66,6 +67,7 @@
             smooth_first_s: 0.0,
             decreased: None,
             leaving: false,
+            engine_down: false,
             suspect_running: false,
         }
     }
@@ -75,6 +77,9 @@
         if self.leaving {
             return Err(Code::EndpointLeaving);
         }
+        if self.engine_down {
+            return Err(Code::EngineUnreachable);
+        }
         if suspect && self.suspect_running {
             return Err(Code::SuspectBusy);
         }
@@ -113,11 +118,6 @@
         }
     }
 
-    /// Learns that the engine failed a request or refused a connection.
-    pub fn failed(&mut self, now: Instant) {
-        self.decrease(now);
-    }
-
     /// Learns the engine's start number; a new one means a cold engine.
     pub fn engine_started(&mut self, start: u64) {
         if start == self.engine_start {
@@ -127,6 +127,16 @@
         self.turn_cold();
     }
 
+    /// Learns whether the engine can be reached at all.
+    pub fn set_engine_down(&mut self, down: bool) {
+        self.engine_down = down;
+    }
+
+    /// Whether the engine cannot be reached.
+    pub fn engine_down(&self) -> bool {
+        self.engine_down
+    }
+
     /// Stops or resumes taking new work.
     pub fn set_leaving(&mut self, leaving: bool) {
         self.leaving = leaving;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`routing`]: an entry's choice of endpoint, its queues, limits and retry budget.
 //! * [`agent`]: admission and the at-most-once record beside each endpoint.
 //! * [`control`]: tickets, claims and suspects: the replicated state machine.
+//! * [`experts`]: expert maps: placement, and the switch at one step.
 //! * [`raft`]: the replicated log itself.
 //! * [`burn`]: how fast objectives' error budgets are spent.
 //! * [`Code`]: the numbered results that all of them speak in.
@@ -16,6 +17,7 @@
 pub mod agent;
 pub mod burn;
 pub mod control;
+pub mod experts;
 pub mod raft;
 pub mod routing;
 
--- a/crates/core/src/raft/peer.rs
+++ b/crates/core/src/raft/peer.rs
@@ -111,8 +111,15 @@
             peer.matched = peer.matched.max(match_index);
             peer.next = peer.next.max(peer.matched + 1);
             let behind = peer.next <= last;
+            let commit = self.commit;
             self.advance_commit();
-            if behind && self.role == Role::Leader {
+            if self.role != Role::Leader {
+                return;
+            }
+            if self.commit > commit {
+                // Followers act on what is committed, so tell them now and not with the heartbeat.
+                self.broadcast(now);
+            } else if behind {
                 self.send_append(now, from);
             }
             return;
--- a/crates/core/src/raft/replica.rs
+++ b/crates/core/src/raft/replica.rs
@@ -271,6 +271,11 @@
         &self.members
     }
 
+    /// Whether the newest members are committed, so that losing one more replica costs nothing.
+    pub fn members_committed(&self) -> bool {
+        self.members_index <= self.commit
+    }
+
     /// Whether the leader has committed something in its own term, so that it knows all commits.
     pub fn settled(&self) -> bool {
         self.role == Role::Leader && self.barrier_index <= self.commit
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -44,6 +44,8 @@
 const OTHER_DOMAIN: f64 = 1.25;
 /// Factor on the score of the endpoint that has the prefix cached.
 const CACHED: f64 = 0.35;
+/// Factor on the score of an endpoint in a domain where another one has just been lost.
+const DOUBTED_DOMAIN: f64 = 4.0;
 /// Share of its limit up to which an endpoint is preferred for its cache.
 const CACHED_USE_MAX: f64 = 0.85;
 
@@ -67,7 +69,11 @@
         }
         Policy::LeastReported => all.iter().copied().min_by_key(reported),
         Policy::TwoChoices => sample(&all, 2, rng).into_iter().min_by_key(reported),
-        Policy::Scored => scored(directory, &all, wish, rng),
+        Policy::Scored => {
+            let brisk = |k: &EndpointKey| directory.get(*k).is_some_and(|e| !e.stalled(now));
+            let moving: SmallVec<[EndpointKey; 32]> = all.iter().copied().filter(brisk).collect();
+            scored(directory, &moving, wish, rng).or_else(|| scored(directory, &all, wish, rng))
+        }
     }
 }
 
@@ -81,7 +87,12 @@
     let roomy: SmallVec<[EndpointKey; 32]> = all.iter().copied().filter(with_room).collect();
     let mut candidates = sample(&roomy, CANDIDATES, rng);
     candidates.extend(wish.cached.filter(|k| roomy.contains(k)));
-    let score = |k: &EndpointKey| directory.get(*k).map_or(f64::MAX, |e| score(*k, e, wish));
+    let doubted: SmallVec<[&str; 4]> = directory.doubted_domains();
+    let score = |k: &EndpointKey| {
+        let Some(e) = directory.get(*k) else { return f64::MAX };
+        let doubt = if doubted.contains(&e.said.domain.as_str()) { DOUBTED_DOMAIN } else { 1.0 };
+        score(*k, e, wish) * doubt
+    };
     candidates.into_iter().min_by(|a, b| score(a).total_cmp(&score(b)))
 }
 
--- a/crates/core/src/routing/directory.rs
+++ b/crates/core/src/routing/directory.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use smallvec::SmallVec;
+
 use super::Announcement;
 use super::Endpoint;
 use super::EndpointKey;
@@ -90,6 +92,26 @@
         keyed.filter_map(|(i, e)| Some((EndpointKey(i as u32), e.as_ref()?)))
     }
 
+    /// Domains in which an endpoint has been found unreachable and not been heard of since.
+    pub fn doubted_domains(&self) -> SmallVec<[&str; 4]> {
+        let mut out = SmallVec::new();
+        for e in self.slots.iter().flatten().filter(|e| e.lost_at.is_some()) {
+            if !out.contains(&e.said.domain.as_str()) {
+                out.push(e.said.domain.as_str());
+            }
+        }
+        out
+    }
+
+    /// Endpoints of a domain, and how many of them cannot be reached.
+    pub fn reach(&self, now: Instant, domain: &str) -> (usize, usize) {
+        let own = self.slots.iter().flatten().filter(|e| e.said.domain == domain);
+        own.fold((0, 0), |(all, lost), e| {
+            let gone = e.lost_at.is_some() || e.expires <= now || e.stalled(now);
+            (all + 1, lost + usize::from(gone))
+        })
+    }
+
     /// Marks every endpoint with whether configuration bars it.
     pub fn bar(&mut self, barred: impl Fn(&Endpoint) -> bool) {
         for e in self.slots.iter_mut().flatten() {
@@ -128,6 +150,9 @@
             said,
             own: 0,
             own_at_report: 0,
+            awaiting: 0,
+            awaiting_since: None,
+            lost_at: None,
             pause_until: None,
             misses: 0,
             direct,
@@ -145,7 +170,8 @@
         e.said_at = now.checked_sub(said.age).unwrap_or(now);
         e.own_at_report = e.own;
         e.revision = revision;
-        if restarted {
+        if restarted || e.lost_at.is_some_and(|lost| e.said_at > lost) {
+            e.lost_at = None;
             e.pause_until = None;
             e.misses = 0;
         }
--- a/crates/core/src/routing/endpoint.rs
+++ b/crates/core/src/routing/endpoint.rs
@@ -6,6 +6,17 @@
 use crocustally_wire::EndpointRecord;
 use crocustally_wire::Load as LoadRecord;
 
+/// Least time without a beginning answer that counts as a stall.
+const STALL_MIN: Duration = Duration::from_millis(150);
+/// The same, as a multiple of the usual time to the first byte.
+const STALL_FACTOR: u32 = 4;
+/// Least time before a request is sent elsewhere for want of a first byte.
+const PATIENCE_MIN: Duration = Duration::from_millis(300);
+/// The same, as a multiple of the usual time to the first byte.
+const PATIENCE_FACTOR: u32 = 8;
+/// Longest such time.
+const PATIENCE_MAX: Duration = Duration::from_secs(5);
+
 /// A key into the arena of one service's endpoints.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct EndpointKey(pub u32);
@@ -114,6 +125,12 @@
     pub own: u32,
     /// This entry's own requests there when the newest load was learnt.
     pub own_at_report: u32,
+    /// This entry's own requests there whose answer has not begun.
+    pub awaiting: u32,
+    /// When the first of them was sent, or an answer last began.
+    pub awaiting_since: Option<Instant>,
+    /// When it was last found unreachable; word from it since then clears this.
+    pub lost_at: Option<Instant>,
     /// Do not send here before this time, after refusals or failures.
     pub pause_until: Option<Instant>,
     /// Consecutive refusals and failures.
@@ -135,7 +152,20 @@
     /// Whether its lease holds and nothing bars new work.
     pub fn usable(&self, now: Instant) -> bool {
         let paused = self.pause_until.is_some_and(|t| t > now);
-        self.expires > now && !self.barred && !self.said.load.draining && !paused
+        let lost = self.lost_at.is_some();
+        self.expires > now && !self.barred && !self.said.load.draining && !paused && !lost
+    }
+
+    /// Whether it has begun no answer for far longer than usual, though it owes some.
+    pub fn stalled(&self, now: Instant) -> bool {
+        let bound = STALL_MIN.max(self.said.load.first_byte * STALL_FACTOR);
+        let since = self.awaiting_since.filter(|_| self.awaiting > 0);
+        since.is_some_and(|t| now.saturating_duration_since(t) > bound)
+    }
+
+    /// How long an answer may take to begin before it is worth asking elsewhere.
+    pub fn patience(&self) -> Duration {
+        (self.said.load.first_byte * PATIENCE_FACTOR).clamp(PATIENCE_MIN, PATIENCE_MAX)
     }
 
     /// Whether it has room, as far as this entry can tell.
--- a/crates/core/src/routing/shard.rs
+++ b/crates/core/src/routing/shard.rs
@@ -72,8 +72,10 @@
     Answered,
     /// The agent refused it; it has not run.
     Refused(Code),
-    /// The connection or the engine failed.
+    /// The engine failed, or took too long to begin.
     Failed,
+    /// The agent could not be reached.
+    Lost,
     /// The place was given back without an outcome, because the caller left.
     Unused,
 }
@@ -142,7 +144,8 @@
         self.wait(now, ask)
     }
 
-    /// Learns how a request ended, and who may go next.
+    /// Learns how a request ended, and who may go next; `began` is whether [`ServiceShard::began`]
+    /// has been said of it.
     pub fn finished(
         &mut self,
         now: Instant,
@@ -150,7 +153,11 @@
         ended: Ended,
         load: Option<Load>,
         held: Duration,
+        began: bool,
     ) -> Grants {
+        if !began {
+            self.began(now, key);
+        }
         if let Some(e) = self.directory.get_mut(key) {
             e.own = e.own.saturating_sub(1);
             note_end(e, now, ended);
@@ -164,6 +171,13 @@
         self.pump(now)
     }
 
+    /// Learns that an answer has begun.
+    pub fn began(&mut self, now: Instant, key: EndpointKey) {
+        let Some(e) = self.directory.get_mut(key) else { return };
+        e.awaiting = e.awaiting.saturating_sub(1);
+        e.awaiting_since = Some(now);
+    }
+
     /// Learns a load, and who may go next.
     pub fn load(&mut self, now: Instant, key: EndpointKey, load: Load) -> Grants {
         self.directory.load(key, load);
@@ -197,7 +211,7 @@
     /// Whether any endpoint can take work at all, now or when it has room.
     pub fn any_usable(&self, now: Instant) -> bool {
         let alive = |e: &super::Endpoint| e.expires > now && !e.barred && !e.said.load.draining;
-        self.directory.iter().any(|(_, e)| alive(e))
+        self.directory.iter().any(|(_, e)| alive(e) && e.lost_at.is_none())
     }
 
     /// Requests waiting.
@@ -209,7 +223,12 @@
         let cached = self.prefixes.get(prefix);
         let wish = Wish { prefix, domain: &self.domain, not, cached };
         let key = choose(self.policy, &self.directory, now, &wish, &mut self.rng, &mut self.turn)?;
-        self.directory.get_mut(key)?.own += 1;
+        let e = self.directory.get_mut(key)?;
+        e.own += 1;
+        if e.awaiting == 0 {
+            e.awaiting_since = Some(now);
+        }
+        e.awaiting += 1;
         self.prefixes.insert(prefix, key);
         Some(key)
     }
@@ -261,6 +280,7 @@
         }
         Ended::Refused(Code::EndpointLeaving) => e.said.load.draining = true,
         Ended::Refused(Code::SuspectBusy) | Ended::Unused => {}
+        Ended::Lost => e.lost_at = Some(now),
         Ended::Refused(_) | Ended::Failed => {
             e.misses = (e.misses + 1).min(8);
             let pause = PAUSE_FIRST * (1 << (e.misses - 1));
--- a/crates/core/tests/cluster/mod.rs
+++ b/crates/core/tests/cluster/mod.rs
@@ -170,9 +170,11 @@
         self.leader().is_some_and(|l| self.replica(l).unwrap().members().is_voter(id))
     }
 
-    /// Voters in the newest membership that a leader knows.
+    /// Voters in the newest membership that a leader has committed; a repair has ended only then.
     pub fn voters(&self) -> usize {
-        self.leader().map_or(0, |l| self.replica(l).unwrap().members().voters.len())
+        let committed = |r: &&Replica| r.members_committed();
+        let leader = self.leader().and_then(|l| self.replica(l)).filter(committed);
+        leader.map_or(0, |r| r.members().voters.len())
     }
 
     /// The instance that leads with the highest term, if any.
--- /dev/null
+++ b/crates/core/tests/placement.rs
@@ -0,0 +1,131 @@
+//! Placement of experts: valid, near the bound, few loads, quick.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crocustally_core::experts::ExpertMap;
+use crocustally_core::experts::LayerId;
+use crocustally_core::experts::LayerMap;
+use crocustally_core::experts::LoadEstimate;
+use crocustally_core::experts::Planner;
+use crocustally_core::experts::PlannerSettings;
+use crocustally_core::experts::RankId;
+use crocustally_core::experts::RankSpeeds;
+use crocustally_core::experts::Split;
+use crocustally_core::experts::bound;
+use crocustally_core::experts::repack;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+fn zipf(experts: usize, rng: &mut ChaCha8Rng) -> Vec<u64> {
+    let mut counts: Vec<u64> =
+        (0..experts).map(|i| (1e6 / (i as f64 + 8.0).powf(0.8)) as u64).collect();
+    for i in 0..experts {
+        counts.swap(i, rng.random_range(0..experts));
+    }
+    counts
+}
+
+fn learnt(layers: usize, experts: usize, seed: u64) -> LoadEstimate {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut estimate = LoadEstimate::uniform(layers, experts);
+    for l in 0..layers {
+        let counts = zipf(experts, &mut rng);
+        for _ in 0..30 {
+            estimate.learn(LayerId(l as u16), &counts);
+        }
+    }
+    estimate
+}
+
+fn start(layers: usize, ranks: usize, experts: usize, slots: usize) -> ExpertMap {
+    ExpertMap { version: 1, layers: vec![LayerMap::in_turn(ranks, experts, slots); layers] }
+}
+
+#[test]
+fn plans_are_valid_and_reach_the_bound() {
+    for seed in 0..50 {
+        let (ranks, experts, slots) = (32, 256, 10);
+        let estimate = learnt(4, experts, seed);
+        let speed = vec![1.0; ranks];
+        let planner = Planner { cfg: PlannerSettings { slots, ..PlannerSettings::default() } };
+        let mut map = start(4, ranks, experts, slots);
+        for _ in 0..100 {
+            let Some(plan) = planner.plan(&map, &estimate, &speed) else { break };
+            let loads: usize =
+                plan.map.layers.iter().zip(&map.layers).map(|(a, b)| a.loads_from(b)).sum();
+            assert!(loads <= plan.loads && plan.skew_after < plan.skew_before);
+            assert!(plan.map.layers.iter().all(|l| l.is_valid(slots)), "seed {seed}");
+            map = plan.map;
+        }
+        for (i, layer) in map.layers.iter().enumerate() {
+            let shares = estimate.layer(LayerId(i as u16));
+            let least = bound(shares, ranks, ranks * slots - experts);
+            let skew = Split::of(layer, shares, &speed).skew();
+            assert!(skew <= least * 1.05, "seed {seed} layer {i}: {skew} against {least}");
+        }
+    }
+}
+
+#[test]
+fn a_repacked_layer_is_valid() {
+    for seed in 0..50 {
+        let estimate = learnt(1, 256, seed);
+        assert!(repack(estimate.layer(LayerId(0)), 32, 10).is_valid(10), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_plan_for_the_target_size_takes_at_most_fifty_milliseconds() {
+    // Only a release build is measured: the bound is for the program that ships.
+    if cfg!(debug_assertions) {
+        return;
+    }
+    let (layers, ranks, experts, slots) = (60, 256, 256, 2);
+    let estimate = learnt(layers, experts, 1);
+    let planner = Planner { cfg: PlannerSettings { slots, ..PlannerSettings::default() } };
+    let map = start(layers, ranks, experts, slots);
+    let speed = vec![1.0; ranks];
+    let begun = Instant::now();
+    let plan = planner.plan(&map, &estimate, &speed);
+    let took = begun.elapsed();
+    assert!(plan.is_some());
+    assert!(took <= Duration::from_millis(50), "{took:?}");
+}
+
+#[test]
+fn a_slow_rank_is_told_apart_and_given_less() {
+    let (ranks, experts, slots) = (16, 64, 6);
+    let estimate = learnt(1, experts, 3);
+    let mut speeds = RankSpeeds::new(ranks);
+    for _ in 0..50 {
+        for r in 0..ranks {
+            // Rank 5 takes twice as long for the same load; rank 7 only has much to do.
+            let load = if r == 7 { 2.0 } else { 1.0 };
+            speeds.learn(RankId(r as u16), load, load * if r == 5 { 2.0 } else { 1.0 });
+        }
+    }
+    assert_eq!(speeds.slow(), [RankId(5)]);
+    let speed = speeds.speeds();
+    let planner = Planner { cfg: PlannerSettings { slots, ..PlannerSettings::default() } };
+    let mut map = start(1, ranks, experts, slots);
+    while let Some(plan) = planner.plan(&map, &estimate, &speed) {
+        map = plan.map;
+    }
+    let split = Split::of(&map.layers[0], estimate.layer(LayerId(0)), &speed);
+    let tokens = |r: usize| split.ranks[r] * speed[r];
+    assert!(tokens(5) < 0.7, "the slow rank still gets {} of the mean", tokens(5));
+}
+
+#[test]
+fn gaps_in_the_counts_teach_nothing() {
+    let mut estimate = LoadEstimate::uniform(1, 4);
+    for _ in 0..50 {
+        estimate.learn(LayerId(0), &[400, 300, 200, 100]);
+    }
+    let before = estimate.layer(LayerId(0)).to_vec();
+    estimate.learn(LayerId(0), &[0, 0, 0, 9]);
+    estimate.learn(LayerId(0), &[1]);
+    assert_eq!(estimate.layer(LayerId(0)), before);
+}
--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -27,7 +27,11 @@
 use crate::identify::Identified;
 
 /// Longest time for one question to an agent.
-const ASK_TIMEOUT: Duration = Duration::from_millis(1000);
+const ASK_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// An instance that is there refuses a connection within this time; a cut path takes longer to
+/// fail.
+const REFUSAL_TIME: Duration = Duration::from_millis(400);
 
 /// What came next from an agent.
 #[derive(Debug)]
@@ -49,6 +53,8 @@
     },
     /// The connection broke.
     Lost,
+    /// The answer has not begun for far longer than usual.
+    Slow,
     /// The deadline is over.
     Late,
 }
@@ -133,7 +139,45 @@
     Outcome::try_from(reply.outcome).ok()
 }
 
+/// What a fresh connection to an agent shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Probe {
+    /// The incarnation that was meant still lives.
+    Alive,
+    /// It has died: another incarnation answers, or the instance refuses connections.
+    Dead,
+    /// Nothing answers at all: it may have died, or the way to it is cut.
+    Silent,
+}
+
+/// Asks over a fresh connection whether an incarnation of an agent lives.
+pub(crate) async fn probe(channel: &Channel, incarnation: u64) -> Probe {
+    let channel = channel.fresh();
+    let mut client = AgentClient::with_origin(channel.clone(), channel.origin());
+    let req = RevokeRequest { incarnation, ..RevokeRequest::default() };
+    let asked = timeout(REFUSAL_TIME, client.revoke(req.clone())).await;
+    let answer = match asked {
+        Some(Err(status)) if not_connected(&status) => return Probe::Dead,
+        Some(answer) => Some(answer),
+        None => timeout(ASK_TIMEOUT, client.revoke(req)).await,
+    };
+    match answer {
+        Some(Ok(reply)) if reply.get_ref().outcome() == Outcome::OtherIncarnation => Probe::Dead,
+        Some(Ok(_)) => Probe::Alive,
+        Some(Err(_)) | None => Probe::Silent,
+    }
+}
+
 impl Call {
+    /// The first piece, if it comes in time; [`Piece::Slow`] otherwise.
+    pub(crate) async fn first(&mut self, now: Instant, patience: Duration) -> Piece {
+        let left = self.deadline.saturating_duration_since(now);
+        if left <= patience {
+            return self.next(now).await;
+        }
+        timeout(patience, self.next(now)).await.unwrap_or(Piece::Slow)
+    }
+
     /// The next piece; after the end mark or a refusal there is none to ask for.
     pub(crate) async fn next(&mut self, now: Instant) -> Piece {
         let left = self.deadline.saturating_duration_since(now);
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -97,11 +97,16 @@
     }
 }
 
-/// A refusal, counted.
+/// A refusal, counted, of a request of which no earlier attempt has run.
 pub(crate) fn refuse(code: Code) -> Response<ResponseBody> {
+    refuse_after(code, code.ran())
+}
+
+/// A refusal, counted, with what is known of all attempts together.
+pub(crate) fn refuse_after(code: Code, ran: Ran) -> Response<ResponseBody> {
     let number = code.number().to_string();
     metrics::counter!("crocustally_refused_total", "code" => number).increment(1);
-    coded_response(code)
+    coded_response(code, ran)
 }
 
 /// The answer of a back end, with the word that it ran.
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -4,7 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use crocustally_core::Digest;
 use crocustally_core::control::Config;
+use crocustally_core::control::DEATHS_MAX;
 use crocustally_core::control::Suspects;
 use crocustally_core::routing::Announcement;
 use crocustally_core::routing::Grants;
@@ -28,6 +31,9 @@
 /// Time between two ticks of the routing state.
 const TICK: Duration = Duration::from_millis(20);
 
+/// Longest time to tell a peer what cannot wait for the next round.
+const TELL_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Last revision told of each service.
 type Revisions = HashMap<String, u64>;
 
@@ -57,6 +63,7 @@
             records,
             config_version: entry.config().version,
             local_out: entry.local_out(),
+            quarantined: Vec::new(),
         };
         if let Some(Ok(reply)) = timeout(ROUND_TIMEOUT, client.gossip(req)).await {
             told = revision;
@@ -154,6 +161,49 @@
         (records, newest)
     }
 
+    /// Tells every entry that can be reached that a request is refused from now on.
+    pub(crate) async fn tell_quarantine(&self, digest: Digest) {
+        self.hear_quarantine(&[digest.to_bytes()]);
+        let tell = |(_, channel): (String, Channel)| {
+            let req = GossipRequest {
+                entry: self.cfg.name.clone(),
+                domain: self.cfg.domain.clone(),
+                config_version: self.config().version,
+                quarantined: vec![digest.to_bytes()],
+                ..GossipRequest::default()
+            };
+            self.rt.spawn_task(async move {
+                let origin = channel.origin();
+                let mut client = EntryClient::with_origin(channel, origin);
+                timeout(TELL_TIMEOUT, client.gossip(req)).await.is_some()
+            })
+        };
+        let told: Vec<_> = self.log.peers().into_iter().map(tell).collect();
+        for t in told {
+            t.await;
+        }
+    }
+
+    /// Hears of requests that are refused from now on.
+    pub(crate) fn hear_quarantine(&self, digests: &[Bytes]) {
+        for digest in digests.iter().filter_map(|d| Digest::try_from(&d[..]).ok()) {
+            while self.count_death_locally(digest) < DEATHS_MAX {}
+        }
+    }
+
+    /// Whether half of a domain's endpoints or more cannot be reached: then the way there is cut, and
+    /// no single request is to blame.
+    pub(crate) fn seems_cut_off(&self, domain: &str) -> bool {
+        let now = self.clock.now();
+        let (mut all, mut lost) = (0, 0);
+        for shard in self.shards() {
+            let (a, l) = shard.with(|core| core.directory.reach(now, domain));
+            all += a;
+            lost += l;
+        }
+        lost > 1 && lost * 2 >= all
+    }
+
     /// Notes word from a peer.
     pub(crate) fn hear(&self, name: &str, version: u64) {
         let now = self.clock.now();
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -227,11 +227,11 @@
             Err(Ran::No) => {
                 // Only the entry that holds a claim sends it, and this one sent nothing.
                 self.not.push(place.key);
-                place.finish(Ended::Failed, None);
+                place.finish(Ended::Lost, None);
                 Step::Next
             }
             Err(_) => {
-                place.finish(Ended::Failed, None);
+                place.finish(Ended::Lost, None);
                 self.resolve(state).await
             }
         }
@@ -261,7 +261,7 @@
                 Step::Final(Code::OutcomeUnknown)
             }
             Err(_) => {
-                place.finish(Ended::Failed, call.load);
+                place.finish(Ended::Lost, call.load);
                 self.resolve(state).await
             }
         }
--- a/crates/entry/src/peer_service.rs
+++ b/crates/entry/src/peer_service.rs
@@ -68,6 +68,7 @@
     async fn gossip(&self, req: Request<GossipRequest>) -> Result<Response<GossipReply>, Status> {
         let req = req.into_inner();
         self.entry.hear(&req.entry, req.config_version);
+        self.entry.hear_quarantine(&req.quarantined);
         self.entry.hear_local_out(&req.local_out, req.config_version);
         for record in req.records {
             if let Ok(said) = Announcement::try_from(record) {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -3,16 +3,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_channel::Receiver;
 use async_channel::Sender;
 use bytes::Bytes;
 use bytes::BytesMut;
 use crocustally_core::Code;
+use crocustally_core::Digest;
 use crocustally_core::Ran;
 use crocustally_core::control::DEATHS_MAX;
 use crocustally_core::routing::Ask;
 use crocustally_core::routing::Ended;
 use crocustally_core::routing::EndpointKey;
 use crocustally_net::Busy;
+use crocustally_net::Channel;
 use crocustally_net::ResponseBody;
 use crocustally_net::sleep;
 use crocustally_wire::Death;
@@ -30,9 +33,10 @@
 use crate::calls;
 use crate::calls::Call;
 use crate::calls::Piece;
+use crate::calls::Probe;
 use crate::front::WholeAnswer;
 use crate::front::account;
-use crate::front::refuse;
+use crate::front::refuse_after;
 use crate::front::response;
 use crate::front::whole_response;
 use crate::identify::Class;
@@ -48,6 +52,11 @@
 const BACK_OFF_MIN_MS: u64 = 20;
 /// Longest time to replicate a death; after that it is counted here only.
 const DEATH_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Sendings that may be given up because their answer does not begin. With the one that follows,
+/// these are as many endpoints as a crashing request may take down.
+const HEDGES_MAX: u32 = 1;
+/// How long a sending that was given up is still watched for the death of its endpoint.
+const WATCH_TIME: Duration = Duration::from_secs(1);
 /// Times that one request is sent at most.
 const SENDS_MAX: u32 = 16;
 
@@ -67,7 +76,11 @@
     not: SmallVec<[EndpointKey; 4]>,
     sends: u32,
     suspect: bool,
+    /// Whether an attempt reached an engine, so that no later refusal may say not run.
+    may_have_run: bool,
     first_byte: Option<Duration>,
+    /// Losses that are being looked into.
+    losses: Vec<Receiver<u32>>,
     _busy: Busy,
 }
 
@@ -84,27 +97,21 @@
         not: SmallVec::new(),
         sends: 0,
         suspect: false,
+        may_have_run: false,
         first_byte: None,
+        losses: Vec::new(),
         _busy: busy,
     };
-    let begun = relay.begin().await;
-    match begun {
-        Ok((head, live)) if head.stream && stream => relay.stream(&head, live),
-        Ok((head, live)) => match relay.collect(head, live).await {
-            Ok(whole) => {
-                relay.ended(None).await;
-                whole_response(whole)
-            }
-            Err(code) => {
-                relay.ended(Some(code)).await;
-                refuse(code)
-            }
-        },
-        Err(code) => {
-            relay.ended(Some(code)).await;
-            refuse(code)
-        }
-    }
+    let result = match relay.begin().await {
+        Ok((head, live)) if head.stream && stream => return relay.stream(&head, live),
+        Ok((head, live)) => relay.collect(head, live).await,
+        Err(code) => Err(code),
+    };
+    let code = result.as_ref().err().copied();
+    let ran = relay.may_have_run.then_some(Ran::Unknown);
+    let rt = relay.entry.rt.clone();
+    rt.spawn(async move { relay.ended(code).await });
+    result.map_or_else(|code| refuse_after(code, ran.unwrap_or(code.ran())), whole_response)
 }
 
 impl Relay {
@@ -112,7 +119,7 @@
     async fn begin(&mut self) -> Result<(Head, Live), Code> {
         loop {
             self.check_suspect()?;
-            let place = self.place().await?;
+            let mut place = self.place().await?;
             self.sends += 1;
             let now = self.entry.clock.now();
             let incarnation = place.incarnation;
@@ -122,8 +129,11 @@
                 return Err(Code::NoEndpoint);
             };
             match calls::open(&channel, req, self.id.deadline).await {
-                Ok(mut call) => match call.next(self.entry.clock.now()).await {
-                    Piece::Head(head) => return Ok((head, Live { place, call })),
+                Ok(mut call) => match call.first(now, self.patience(&place)).await {
+                    Piece::Head(head) => {
+                        place.began();
+                        return Ok((head, Live { place, call }));
+                    }
                     other => self.failed(Live { place, call }, other).await?,
                 },
                 Err(ran) => self.unreachable(place, ran).await?,
@@ -131,6 +141,11 @@
         }
     }
 
+    /// The first sendings may be given up for another endpoint; the last one waits.
+    fn patience(&self, place: &Place) -> Duration {
+        if self.sends <= HEDGES_MAX { place.patience } else { Duration::MAX }
+    }
+
     /// Finds a place; a spent retry budget only delays, as long as the request may wait.
     async fn place(&mut self) -> Result<Place, Code> {
         loop {
@@ -173,22 +188,36 @@
     async fn failed(&mut self, live: Live, piece: Piece) -> Result<(), Code> {
         let Live { place, call } = live;
         let load = call.load;
+        self.may_have_run |= !matches!(piece, Piece::Refused { ran: Ran::No, .. });
         match piece {
+            Piece::Refused { code: Code::SuspectBusy, .. } => {
+                place.finish(Ended::Refused(Code::SuspectBusy), load);
+                // Its turn comes; this sending was none.
+                self.sends -= 1;
+                self.back_off().await;
+                self.may_go_on(Code::SuspectBusy)
+            }
             Piece::Refused { code, ran: Ran::No, .. } => {
                 self.not.push(place.key);
                 place.finish(Ended::Refused(code), load);
                 self.may_go_on(code)
             }
+            Piece::Slow => {
+                metrics::counter!("crocustally_hedged_total").increment(1);
+                self.not.push(place.key);
+                self.watch_given_up(place, call);
+                self.may_go_on(Code::DeadlineOver)
+            }
             Piece::Refused { code: Code::DeadlineOver, .. } | Piece::Late => {
                 place.finish(Ended::Failed, load);
                 Err(Code::DeadlineOver)
             }
-            Piece::Refused { code, engine_died, .. } => {
-                let (name, start) = (place.name.clone(), place.engine_start);
+            Piece::Refused { code, .. } => {
+                let loss = Loss::of(&self.entry, &place, &piece);
                 self.not.push(place.key);
                 place.finish(Ended::Failed, load);
-                if engine_died {
-                    self.note_death(name, start).await?;
+                if let Some(loss) = loss {
+                    self.note_loss(loss).await?;
                 }
                 self.may_go_on(code)
             }
@@ -196,24 +225,15 @@
         }
     }
 
-    /// The agent cannot be reached over the old connection: ask over a fresh one whether it lives.
+    /// The agent cannot be reached over the old connection. Whether it lives is asked over a fresh
+    /// one, in the background the first time, since the caller waits.
     async fn unreachable(&mut self, place: Place, ran: Ran) -> Result<(), Code> {
-        let (name, incarnation) = (place.name.clone(), place.incarnation);
-        let channel = self.entry.agent(&place.address);
+        let loss = Loss::of(&self.entry, &place, &Piece::Lost);
         self.not.push(place.key);
-        place.finish(Ended::Failed, None);
-        if ran == Ran::No {
-            return self.may_go_on(Code::NoEndpoint);
-        }
-        let alive = match channel {
-            Some(channel) => {
-                let word = calls::revoke(&channel, self.id.digest, incarnation, 0).await;
-                word.is_some_and(|w| w != crocustally_wire::revoke_reply::Outcome::OtherIncarnation)
-            }
-            None => false,
-        };
-        if !alive {
-            self.note_death(name, incarnation).await?;
+        place.finish(Ended::Lost, None);
+        self.may_have_run |= ran != Ran::No;
+        if let (Some(loss), Ran::Unknown) = (loss, ran) {
+            self.note_loss(loss).await?;
         }
         self.may_go_on(Code::AnswerBroken)
     }
@@ -229,30 +249,65 @@
     /// A request that was in flight at a death goes alone from then on; two deaths are the end.
     fn check_suspect(&mut self) -> Result<(), Code> {
         let deaths = self.entry.deaths(self.id.digest);
-        self.suspect = deaths > 0;
+        self.suspect |= deaths > 0;
         if deaths >= DEATHS_MAX { Err(Code::Quarantined) } else { Ok(()) }
     }
 
-    async fn note_death(&mut self, endpoint: String, engine_start: u64) -> Result<(), Code> {
-        let digests = vec![self.id.digest.to_bytes()];
-        let death = Kind::Death(Death { endpoint, engine_start, digests });
-        let outcome = self.entry.log.propose(death, DEATH_TIMEOUT).await;
-        let deaths = match outcome.ok().and_then(|o| o.kind) {
-            Some(OutcomeKind::Death(d)) => d.deaths.first().copied().unwrap_or(0),
-            _ => self.entry.count_death_locally(self.id.digest),
-        };
+    /// Notes that an endpoint was lost with this request in flight.
+    ///
+    /// The first loss makes it a suspect at once and is looked into behind its back. Before it is
+    /// sent a third time, both losses have been looked into.
+    async fn note_loss(&mut self, loss: Loss) -> Result<(), Code> {
         self.suspect = true;
+        let looked = look_into(self.entry.clone(), self.id.digest, loss);
+        if self.losses.is_empty() {
+            // On its own, so that it is counted even when the caller leaves meanwhile.
+            let (tx, rx) = async_channel::bounded(1);
+            self.entry.rt.spawn(async move {
+                let _ = tx.try_send(looked.await);
+            });
+            self.losses.push(rx);
+            return Ok(());
+        }
+        let mut deaths = looked.await;
+        for earlier in self.losses.drain(..) {
+            deaths = deaths.max(earlier.recv().await.unwrap_or(0));
+        }
+        deaths = deaths.max(self.entry.deaths(self.id.digest));
         if deaths >= DEATHS_MAX {
             log::warn!("request {} quarantined after {deaths} deaths", self.id.digest.hex());
+            // The caller may send it again at once, at any entry.
+            self.entry.tell_quarantine(self.id.digest).await;
             return Err(Code::Quarantined);
         }
         Ok(())
     }
 
-    /// Accounts for the request; a suspect that ended whole is cleared.
+    /// Watches a sending that was given up: if its endpoint dies after all, that counts.
+    fn watch_given_up(&mut self, place: Place, mut call: Call) {
+        let (entry, digest) = (self.entry.clone(), self.id.digest);
+        let (tx, rx) = async_channel::bounded(1);
+        self.losses.push(rx);
+        self.entry.rt.spawn(async move {
+            let piece = call.first(entry.clock.now(), WATCH_TIME).await;
+            let loss = Loss::of(&entry, &place, &piece);
+            let ended = if matches!(piece, Piece::Lost) { Ended::Lost } else { Ended::Failed };
+            place.finish(ended, call.load);
+            drop(call);
+            if let Some(loss) = loss {
+                let _ = tx.try_send(look_into(entry, digest, loss).await);
+            }
+        });
+    }
+
+    /// Accounts for the request; a suspect that ended whole is cleared, after its losses have been
+    /// counted.
     async fn ended(&mut self, code: Option<Code>) {
         let whole = code.is_none();
         account(&self.entry, &self.id, whole, code, self.first_byte);
+        for loss in self.losses.drain(..) {
+            let _ = loss.recv().await;
+        }
         if whole && self.suspect {
             self.entry.clear_locally(self.id.digest);
             let cleared = Kind::Cleared(self.id.digest.to_bytes());
@@ -367,6 +422,51 @@
     }
 }
 
+/// An endpoint lost with a request in flight.
+struct Loss {
+    endpoint: String,
+    domain: String,
+    /// Start number of its engine, or incarnation of its agent.
+    start: u64,
+    /// Where to ask whether it lives after all; none when it is known to be dead.
+    channel: Option<Channel>,
+}
+
+impl Loss {
+    /// The loss that a piece shows, if it shows one.
+    fn of(entry: &Entry, place: &Place, piece: &Piece) -> Option<Self> {
+        let (start, channel) = match piece {
+            Piece::Refused { engine_died: true, .. } => (place.engine_start, None),
+            Piece::Lost => (place.incarnation, entry.agent(&place.address)),
+            _ => return None,
+        };
+        let (endpoint, domain) = (place.name.clone(), place.domain.clone());
+        Some(Self { endpoint, domain, start, channel })
+    }
+}
+
+/// Counts a loss as a death, unless the agent still lives or its whole domain cannot be reached;
+/// answers the deaths counted so far.
+async fn look_into(entry: Arc<Entry>, digest: Digest, loss: Loss) -> u32 {
+    if let Some(channel) = loss.channel {
+        let innocent = match calls::probe(&channel, loss.start).await {
+            Probe::Alive => true,
+            Probe::Dead => false,
+            Probe::Silent => entry.seems_cut_off(&loss.domain),
+        };
+        if innocent {
+            return entry.deaths(digest);
+        }
+    }
+    let digests = vec![digest.to_bytes()];
+    let death = Death { endpoint: loss.endpoint, engine_start: loss.start, digests };
+    let outcome = entry.log.propose(Kind::Death(death), DEATH_TIMEOUT).await;
+    match outcome.ok().and_then(|o| o.kind) {
+        Some(OutcomeKind::Death(d)) => d.deaths.first().copied().unwrap_or(0),
+        _ => entry.count_death_locally(digest),
+    }
+}
+
 /// The event with its number, by which a caller can ask another entry for the rest.
 fn numbered(n: u64, event: &Bytes) -> Bytes {
     let mut out = BytesMut::with_capacity(event.len() + 16);
--- a/crates/entry/src/shard.rs
+++ b/crates/entry/src/shard.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 use std::time::Instant;
 
 use async_channel::Receiver;
@@ -40,17 +41,29 @@
     pub(crate) key: EndpointKey,
     /// Name of the endpoint.
     pub(crate) name: String,
+    /// Failure domain of the endpoint.
+    pub(crate) domain: String,
     /// Address of its agent.
     pub(crate) address: String,
     /// Incarnation of its agent.
     pub(crate) incarnation: u64,
     /// Start number of its engine, as far as it is known.
     pub(crate) engine_start: u64,
+    /// How long an answer may take to begin before it is worth asking elsewhere.
+    pub(crate) patience: Duration,
     begun: Instant,
+    answering: bool,
     given_back: bool,
 }
 
 impl Place {
+    /// Notes that the answer has begun.
+    pub(crate) fn began(&mut self) {
+        self.answering = true;
+        let now = self.shard.clock.now();
+        self.shard.with(|core| core.began(now, self.key));
+    }
+
     /// Gives the place back with what was learnt.
     pub(crate) fn finish(mut self, ended: Ended, load: Option<Load>) {
         self.give_back(ended, load);
@@ -63,7 +76,8 @@
         self.given_back = true;
         let now = self.shard.clock.now();
         let held = now.saturating_duration_since(self.begun);
-        self.shard.update(|core| core.finished(now, self.key, ended, load, held));
+        let began = self.answering;
+        self.shard.update(|core| core.finished(now, self.key, ended, load, held, began));
     }
 }
 
@@ -89,8 +103,8 @@
         drop(inner);
         if let Ok(Ok(key)) = self.rx.try_recv() {
             let now = self.shard.clock.now();
-            let zero = std::time::Duration::ZERO;
-            self.shard.update(|core| core.finished(now, key, Ended::Unused, None, zero));
+            let zero = Duration::ZERO;
+            self.shard.update(|core| core.finished(now, key, Ended::Unused, None, zero, false));
         }
     }
 }
@@ -118,8 +132,8 @@
             let taken = waiter.is_some_and(|tx| tx.try_send(grant.answer).is_ok());
             if let (false, Ok(key)) = (taken, grant.answer) {
                 let now = self.clock.now();
-                let zero = std::time::Duration::ZERO;
-                grants.extend(inner.core.finished(now, key, Ended::Unused, None, zero));
+                let zero = Duration::ZERO;
+                grants.extend(inner.core.finished(now, key, Ended::Unused, None, zero, false));
             }
         }
     }
@@ -150,10 +164,13 @@
             shard: self.clone(),
             key,
             name: e.said.name.clone(),
+            domain: e.said.domain.clone(),
             address: e.said.address.clone(),
             incarnation: e.said.incarnation,
             engine_start: e.said.load.engine_start,
+            patience: e.patience(),
             begun: self.clock.now(),
+            answering: false,
             given_back: false,
         })
     }
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -148,6 +148,14 @@
         self
     }
 
+    /// Makes entries reach an agent through a relay that the test starts; answers its address.
+    pub fn relay_before_agent(&mut self, i: usize) -> SocketAddr {
+        let listen = relay_of(self.agents[i].listen, AGENT_PORT);
+        self.agents[i].advertise = Some(listen);
+        self.own_relays.push(listen);
+        listen
+    }
+
     /// Failure domain of the instance with this address.
     pub fn domain_of(&self, ip: IpAddr) -> Option<&str> {
         let entry = self.entries.iter().find(|e| e.peers.ip() == ip).map(|e| &e.domain);
--- a/crates/net/src/grpc_server.rs
+++ b/crates/net/src/grpc_server.rs
@@ -23,9 +23,9 @@
 /// How often a server asks whether a client is still there, to let go of dead connections.
 const KEEP_ALIVE_SERVER: Duration = Duration::from_secs(20);
 /// How often a client with calls under way asks whether the server is still there.
-pub(crate) const KEEP_ALIVE: Duration = Duration::from_millis(500);
+pub(crate) const KEEP_ALIVE: Duration = Duration::from_millis(200);
 /// How long it waits for the answer.
-pub(crate) const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_millis(1000);
+pub(crate) const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Flow-control window of one stream in bytes.
 pub(crate) const STREAM_WINDOW: u32 = 1 << 20;
 /// Flow-control window of one connection in bytes.
--- a/crates/net/src/http_server.rs
+++ b/crates/net/src/http_server.rs
@@ -8,6 +8,7 @@
 use async_net::TcpStream;
 use bytes::Bytes;
 use crocustally_core::Code;
+use crocustally_core::Ran;
 use futures_lite::AsyncWriteExt;
 use futures_lite::FutureExt;
 use http_body_util::BodyExt;
@@ -60,12 +61,12 @@
 }
 
 /// A refusal or failure with its number and a true word on whether the request ran.
-pub fn coded_response(code: Code) -> Response<ResponseBody> {
-    let mut response = Response::new(full_body(coded_body(code)));
+pub fn coded_response(code: Code, ran: Ran) -> Response<ResponseBody> {
+    let mut response = Response::new(full_body(coded_body(code, ran)));
     *response.status_mut() =
         hyper::StatusCode::from_u16(code.status()).unwrap_or(hyper::StatusCode::BAD_GATEWAY);
     let headers = response.headers_mut();
-    let word = hyper::header::HeaderValue::from_static(code.ran().word());
+    let word = hyper::header::HeaderValue::from_static(ran.word());
     headers.insert(RUN_HEADER, word);
     headers.insert("x-crocustally-code", code.number().into());
     let json = hyper::header::HeaderValue::from_static("application/json");
@@ -73,8 +74,8 @@
     response
 }
 
-pub(crate) fn coded_body(code: Code) -> String {
-    let (number, text, ran) = (code.number(), code.text(), code.ran().word());
+pub(crate) fn coded_body(code: Code, ran: Ran) -> String {
+    let (number, text, ran) = (code.number(), code.text(), ran.word());
     format!("{{\"error\":{{\"code\":{number},\"message\":\"{text}\",\"run\":\"{ran}\"}}}}\n")
 }
 
--- a/crates/programs/tests/once.rs
+++ b/crates/programs/tests/once.rs
@@ -223,11 +223,8 @@
 /// A deployment whose one portal is reached through a relay.
 async fn relayed(rt: &Runtime, work: Duration) -> (ProcessFleet, TcpRelay) {
     let mut plan = Plan::new(slow_portal(work));
-    let mut listen = plan.agents[0].listen;
-    listen.set_port(9500);
+    let listen = plan.relay_before_agent(0);
     let relay = TcpRelay::start(rt, listen, plan.agents[0].listen).await.unwrap();
-    plan.agents[0].advertise = Some(listen);
-    plan.own_relays.push(listen);
     let fleet = ProcessFleet::start(rt, plan, programs()).await.unwrap();
     assert!(fleet.wait_ready(READY).await);
     (fleet, relay)
--- a/crates/programs/tests/whole.rs
+++ b/crates/programs/tests/whole.rs
@@ -58,16 +58,19 @@
     (0..n).map(one).collect()
 }
 
-async fn all_whole(answers: Vec<async_channel::Receiver<CallerAnswer>>) {
+async fn all_whole(fleet: &ProcessFleet, answers: Vec<async_channel::Receiver<CallerAnswer>>) {
     for rx in answers {
         let answer = rx.recv().await.unwrap();
         assert!(
             answer.is_whole_stream(0, TOKENS),
-            "status {} code {} complete {} tokens {:?}",
+            "status {} code {} complete {} tokens {:?} after {:?} ending {:?}\n{}",
             answer.status,
             answer.code,
             answer.complete,
-            answer.tokens()
+            answer.tokens(),
+            answer.total,
+            answer.body.slice(answer.body.len().saturating_sub(120)..),
+            (1..4).map(|i| fleet.log_of(&format!("entry-{i}"))).collect::<String>()
         );
     }
 }
@@ -84,7 +87,7 @@
         let answers = send_all(&rt, &fleet, 9);
         assert!(all_running(&fleet, 9).await);
         fleet.kill_agent(0);
-        all_whole(answers).await;
+        all_whole(&fleet, answers).await;
     });
 }
 
@@ -95,7 +98,7 @@
         let answers = send_all(&rt, &fleet, 9);
         assert!(all_running(&fleet, 9).await);
         fleet.stand.engines[1].die();
-        all_whole(answers).await;
+        all_whole(&fleet, answers).await;
         assert_eq!(fleet.status(0).await.unwrap().quarantined, 0);
     });
 }
@@ -126,17 +129,14 @@
     for (to_server, to_client) in [(true, true), (false, true), (true, false)] {
         run(|rt| async move {
             let mut plan = Plan::new(slow_engines(2));
-            let mut listen = plan.agents[0].listen;
-            listen.set_port(9500);
+            let listen = plan.relay_before_agent(0);
             let relay = TcpRelay::start(&rt, listen, plan.agents[0].listen).await.unwrap();
-            plan.agents[0].advertise = Some(listen);
-            plan.own_relays.push(listen);
             let fleet = ProcessFleet::start(&rt, plan, programs()).await.unwrap();
             assert!(fleet.wait_ready(READY).await);
             let answers = send_all(&rt, &fleet, 4);
             assert!(all_running(&fleet, 4).await);
             relay.silence_existing(to_server, to_client);
-            all_whole(answers).await;
+            all_whole(&fleet, answers).await;
             assert_eq!(fleet.status(0).await.unwrap().quarantined, 0);
         });
     }
@@ -167,8 +167,9 @@
             assert_eq!(answer.code, QUARANTINED, "{answer:?}");
         }
         let deaths: u64 = fleet.stand.engines.iter().map(|e| e.deaths()).sum();
-        assert!(deaths <= 2, "{deaths} endpoints lost");
-        all_whole(neighbours).await;
+        let logs: String = (1..4).map(|i| fleet.log_of(&format!("entry-{i}"))).collect();
+        assert!(deaths <= 2, "{deaths} endpoints lost\n{logs}");
+        all_whole(&fleet, neighbours).await;
         assert_eq!(fleet.status(0).await.unwrap().quarantined, 1);
     });
 }
