--- a/crates/bench/src/args.rs
+++ b/crates/bench/src/args.rs
@@ -11,6 +11,9 @@
 use serde_json::Value;
 
 use crate::domain;
+use crate::steps;
+use crate::steps::MapPolicy;
+use crate::steps::StepsSettings;
 
 /// Threads of the tool itself: callers and stand-ins.
 const THREADS: usize = 4;
@@ -30,12 +33,36 @@
                 .arg(float("phase-seconds", "4"))
                 .arg(float("rate", "150")),
         )
+        .subcommand(
+            with("steps", "Step-time skew across ranks and the cost of rebalancing")
+                .arg(count("ranks", "32"))
+                .arg(count("experts", "256"))
+                .arg(count("layers", "8"))
+                .arg(count("steps", "4000"))
+                .arg(
+                    Arg::new("policy").long("policy").default_value("incremental").value_parser([
+                        "static",
+                        "repack",
+                        "incremental",
+                    ]),
+                ),
+        )
 }
 
 fn float(name: &'static str, default: &'static str) -> Arg {
     Arg::new(name).long(name).default_value(default).value_parser(value_parser!(f64))
 }
 
+fn count(name: &'static str, default: &'static str) -> Arg {
+    Arg::new(name).long(name).default_value(default).value_parser(value_parser!(u64))
+}
+
+fn steps_settings(m: &ArgMatches, seed: u64) -> StepsSettings {
+    let size = |name: &str| get::<u64>(m, name) as usize;
+    let (ranks, experts, layers) = (size("ranks"), size("experts"), size("layers"));
+    StepsSettings { seed, ranks, experts, layers, steps: get::<u64>(m, "steps") }
+}
+
 fn get<T: Copy + Send + Sync + 'static>(m: &ArgMatches, name: &str) -> T {
     // Every argument that is asked for has a default, so it is always there.
     m.get_one::<T>(name).copied().unwrap_or_else(|| unreachable!("argument {name}"))
@@ -52,6 +79,11 @@
             let (phase_s, rate) = (get::<f64>(m, "phase-seconds"), get::<f64>(m, "rate"));
             async_io::block_on(domain::run(&rt, seed, phase_s, rate))
         }
+        "steps" => {
+            let policy = m.get_one::<String>("policy").and_then(|p| MapPolicy::named(p));
+            let policy = policy.unwrap_or(MapPolicy::Incremental);
+            steps::run(steps_settings(m, seed), policy)
+        }
         _ => (Value::Null, false),
     };
     if !m.get_flag("json") {
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,7 +5,9 @@
 
 mod args;
 mod domain;
+mod drift;
 mod load;
 mod stats;
+mod steps;
 
 pub use args::run;
--- a/crates/core/src/experts/balance.rs
+++ b/crates/core/src/experts/balance.rs
@@ -43,6 +43,21 @@
         Self { parts, ranks }
     }
 
+    /// Skew when the tokens fall as `shares` and are split as here.
+    pub fn skew_under(&self, map: &LayerMap, shares: &[f64], speed: &[f64]) -> f64 {
+        let mut load = vec![0.0; map.ranks.len()];
+        for (e, holders) in map.holders.iter().enumerate() {
+            let total: f64 = self.parts[e].iter().sum();
+            for (r, part) in holders.iter().zip(&self.parts[e]) {
+                let even = 1.0 / holders.len() as f64;
+                let share = if total > 0.0 { part / total } else { even };
+                load[r.0 as usize] += shares[e] * share;
+            }
+        }
+        let times = load.iter().zip(speed).map(|(l, s)| l / s);
+        times.fold(0.0, f64::max) * map.ranks.len() as f64
+    }
+
     /// Load of the heaviest rank over the mean: the time that a step takes over the least it could.
     pub fn skew(&self) -> f64 {
         self.ranks.iter().copied().fold(0.0, f64::max)
--- a/crates/core/src/experts/map.rs
+++ b/crates/core/src/experts/map.rs
@@ -2,6 +2,9 @@
 
 use smallvec::SmallVec;
 
+use super::LoadEstimate;
+use super::Split;
+
 /// A key for one layer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct LayerId(pub u16);
@@ -82,10 +85,32 @@
 }
 
 /// The placement of all layers under one version.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ExpertMap {
     /// Version; a later map has a higher one.
     pub version: u64,
     /// One placement per layer.
     pub layers: Vec<LayerMap>,
+    /// For each layer, how tokens are split over replicas; part of the map, since all ranks must
+    /// send a token to the same replica.
+    pub splits: Vec<Split>,
+}
+
+impl ExpertMap {
+    /// The same placement with tokens split for this estimate.
+    pub fn split_for(mut self, estimate: &LoadEstimate, speed: &[f64]) -> Self {
+        let layer =
+            |(i, map): (usize, &LayerMap)| Split::of(map, estimate.layer(LayerId(i as u16)), speed);
+        self.splits = self.layers.iter().enumerate().map(layer).collect();
+        self
+    }
+
+    /// Mean over the layers of the skew that this estimate gives with the map's own splits.
+    pub fn skew(&self, estimate: &LoadEstimate, speed: &[f64]) -> f64 {
+        let layer = |(i, map): (usize, &LayerMap)| {
+            self.splits[i].skew_under(map, estimate.layer(LayerId(i as u16)), speed)
+        };
+        let sum: f64 = self.layers.iter().enumerate().map(layer).sum();
+        sum / self.layers.len().max(1) as f64
+    }
 }
--- a/crates/core/src/experts/planner.rs
+++ b/crates/core/src/experts/planner.rs
@@ -13,6 +13,11 @@
 use super::by_popularity;
 use super::least_loaded;
 
+/// Skew that a change must gain for each load.
+const GAIN_MIN: f64 = 1e-4;
+/// Light ranks that an exchange is looked for with.
+const EXCHANGE_RANKS: usize = 6;
+
 /// What a plan may cost and what it is worth.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlannerSettings {
@@ -30,18 +35,21 @@
     pub life_steps: f64,
     /// Step time that one load costs, as a share of one step.
     pub load_cost: f64,
+    /// Skew that splitting tokens anew must gain.
+    pub split_gain: f64,
 }
 
 impl Default for PlannerSettings {
     fn default() -> Self {
         Self {
             slots: 10,
-            act_above: 1.04,
-            stop_below: 1.02,
+            act_above: 1.045,
+            stop_below: 1.03,
             loads_per_layer: 6,
             loads_per_plan: 64,
             life_steps: 400.0,
             load_cost: 0.05,
+            split_gain: 0.004,
         }
     }
 }
@@ -97,8 +105,9 @@
         let layers = current.layers.len() as f64;
         // The most gain for each load first, as far as the weight store's rate goes.
         work.sort_by(|a, b| (b.gain / b.loads as f64).total_cmp(&(a.gain / a.loads as f64)));
+        let mut layers_next = current.layers.clone();
         let mut plan = Plan {
-            map: ExpertMap { version: current.version + 1, layers: current.layers.clone() },
+            map: ExpertMap { version: current.version + 1, layers: Vec::new(), splits: Vec::new() },
             loads: 0,
             skew_before: skew_before / layers,
             skew_after: skew_before / layers,
@@ -109,9 +118,28 @@
             }
             plan.loads += w.loads;
             plan.skew_after -= w.gain / layers;
-            plan.map.layers[w.layer] = w.map;
+            layers_next[w.layer] = w.map;
+        }
+        if plan.loads == 0 {
+            return None;
         }
-        (plan.loads > 0).then_some(plan)
+        plan.map.layers = layers_next;
+        plan.map = plan.map.split_for(estimate, speed);
+        Some(plan)
+    }
+
+    /// The current placement with its tokens split anew, which costs a switch and no load; none
+    /// where that would gain little.
+    pub fn split_anew(
+        &self,
+        current: &ExpertMap,
+        estimate: &LoadEstimate,
+        speed: &[f64],
+    ) -> Option<ExpertMap> {
+        let mut next = current.clone().split_for(estimate, speed);
+        next.version += 1;
+        let gain = current.skew(estimate, speed) - next.skew(estimate, speed);
+        (gain >= self.cfg.split_gain).then_some(next)
     }
 
     fn layer(
@@ -132,14 +160,10 @@
         let mut split = split;
         let mut loads = 0;
         while loads < self.cfg.loads_per_layer && split.skew() > least * self.cfg.stop_below {
-            let Some(next) = self.one_load(&map, &split) else { break };
-            let next_split = Split::of(&next, shares, speed);
-            if next_split.skew() >= split.skew() - 1e-6 {
-                break;
-            }
-            map = next;
-            split = next_split;
-            loads += 1;
+            let Some(next) = self.best_change(&map, &split, shares, speed) else { break };
+            map = next.map;
+            split = next.split;
+            loads += next.loads;
         }
         let gain = skew_before - split.skew();
         let worth = gain * self.cfg.life_steps > loads as f64 * self.cfg.load_cost;
@@ -147,6 +171,29 @@
         (loads > 0 && worth).then_some(layers_gain)
     }
 
+    /// The change that lowers the skew most for each load: one more replica, or two experts
+    /// exchanged where no slot does little enough to be given up.
+    fn best_change(
+        &self,
+        map: &LayerMap,
+        split: &Split,
+        shares: &[f64],
+        speed: &[f64],
+    ) -> Option<Change> {
+        let before = split.skew();
+        let tried = [(self.one_load(map, split), 1), (exchange(map, split), 2)];
+        let mut best: Option<(f64, Change)> = None;
+        for (next, loads) in tried {
+            let Some(next) = next else { continue };
+            let split = Split::of(&next, shares, speed);
+            let gain = (before - split.skew()) / loads as f64;
+            if gain > GAIN_MIN && best.as_ref().is_none_or(|(g, _)| gain > *g) {
+                best = Some((gain, Change { map: next, split, loads }));
+            }
+        }
+        best.map(|(_, change)| change)
+    }
+
     /// The map after loading one more replica of what burdens the heaviest rank.
     fn one_load(&self, map: &LayerMap, split: &Split) -> Option<LayerMap> {
         let heavy = split.heaviest();
@@ -184,6 +231,46 @@
     }
 }
 
+/// A changed layer and what it takes.
+struct Change {
+    map: LayerMap,
+    split: Split,
+    loads: usize,
+}
+
+/// The map after the heaviest rank and a light one have exchanged the experts that bring their
+/// loads closest together.
+fn exchange(map: &LayerMap, split: &Split) -> Option<LayerMap> {
+    let heavy = split.heaviest();
+    let n = map.ranks.len() as f64;
+    let mut light: Vec<RankId> = (0..map.ranks.len()).map(|r| RankId(r as u16)).collect();
+    light.sort_by(|a, b| split.ranks[a.0 as usize].total_cmp(&split.ranks[b.0 as usize]));
+    let mut best: Option<(f64, RankId, ExpertId, ExpertId)> = None;
+    for &to in light.iter().take(EXCHANGE_RANKS) {
+        let gap = split.ranks[heavy.0 as usize] - split.ranks[to.0 as usize];
+        for &out in &map.ranks[heavy.0 as usize] {
+            for &back in &map.ranks[to.0 as usize] {
+                if map.holds(to, out) || map.holds(heavy, back) {
+                    continue;
+                }
+                let moved = (part(map, split, heavy, out) - part(map, split, to, back)) * n;
+                // What is left between the two ranks; a move past the gap only swaps their roles.
+                let left = (gap - 2.0 * moved).abs();
+                if moved > 0.0 && left < gap && best.is_none_or(|(l, ..)| left < l) {
+                    best = Some((left, to, out, back));
+                }
+            }
+        }
+    }
+    let (_, to, out, back) = best?;
+    let mut next = map.clone();
+    next.remove(heavy, out);
+    next.remove(to, back);
+    next.add(heavy, back);
+    next.add(to, out);
+    Some(next)
+}
+
 /// Where a rank can take one more expert.
 enum Room {
     Free,
