--- a/crates/core/src/experts/balance.rs
+++ b/crates/core/src/experts/balance.rs
@@ -4,6 +4,8 @@
 use super::LayerMap;
 use super::RankId;
 
+/// Power of the mean that stands in for the maximum.
+const SMOOTH_POWER: i32 = 24;
 /// Rounds of moving tokens between the replicas of an expert.
 const ROUNDS: usize = 6;
 
@@ -63,6 +65,13 @@
         self.ranks.iter().copied().fold(0.0, f64::max)
     }
 
+    /// A smooth stand-in for [`Split::skew`] that also falls when one of several equally heavy ranks
+    /// gets lighter.
+    pub fn smooth_skew(&self) -> f64 {
+        let sum: f64 = self.ranks.iter().map(|l| l.powi(SMOOTH_POWER)).sum();
+        (sum / self.ranks.len().max(1) as f64).powf(1.0 / f64::from(SMOOTH_POWER))
+    }
+
     /// The heaviest rank.
     pub fn heaviest(&self) -> RankId {
         let mut best = 0;
--- a/crates/core/src/experts/planner.rs
+++ b/crates/core/src/experts/planner.rs
@@ -153,6 +153,7 @@
         let spare = before.ranks.len() * self.cfg.slots - shares.len();
         let least = bound(shares, before.ranks.len(), spare);
         let skew_before = split.skew();
+        let smooth_before = split.smooth_skew();
         if skew_before <= least * self.cfg.act_above {
             return None;
         }
@@ -165,7 +166,7 @@
             split = next.split;
             loads += next.loads;
         }
-        let gain = skew_before - split.skew();
+        let gain = (skew_before - split.skew()).max(smooth_before - split.smooth_skew());
         let worth = gain * self.cfg.life_steps > loads as f64 * self.cfg.load_cost;
         let layers_gain = LayerPlan { layer, map, loads, gain };
         (loads > 0 && worth).then_some(layers_gain)
@@ -180,13 +181,13 @@
         shares: &[f64],
         speed: &[f64],
     ) -> Option<Change> {
-        let before = split.skew();
+        let before = split.smooth_skew();
         let tried = [(self.one_load(map, split), 1), (exchange(map, split), 2)];
         let mut best: Option<(f64, Change)> = None;
         for (next, loads) in tried {
             let Some(next) = next else { continue };
             let split = Split::of(&next, shares, speed);
-            let gain = (before - split.skew()) / loads as f64;
+            let gain = (before - split.smooth_skew()) / loads as f64;
             if gain > GAIN_MIN && best.as_ref().is_none_or(|(g, _)| gain > *g) {
                 best = Some((gain, Change { map: next, split, loads }));
             }
