--- a/crates/agent/src/engine_run.rs
+++ b/crates/agent/src/engine_run.rs
@@ -35,8 +35,10 @@
 
 /// How an attempt ended.
 enum Ended {
-    /// Whole; the number is one past the last offset.
-    Whole(u64),
+    /// Streamed to its end; the number is one past the last offset.
+    Streamed(u64),
+    /// Whole, not streamed.
+    Whole { status: u16, content_type: String, body: Bytes },
     /// Refused before it ran.
     NotRun(Code),
     /// Broken off; it may have run.
@@ -83,7 +85,10 @@
         self.release();
         let load = self.agent.load();
         let last = match ended {
-            Ended::Whole(count) => pieces::end(count, load),
+            Ended::Streamed(count) => pieces::end(count, load),
+            Ended::Whole { status, ref content_type, ref body } => {
+                pieces::whole(status, content_type.clone(), body.clone(), load)
+            }
             Ended::NotRun(code) => pieces::refusal(code, Ran::No, false, load),
             Ended::Broken(code) => pieces::refusal(code, Ran::Unknown, died, load),
             Ended::Cancelled => return,
@@ -98,7 +103,8 @@
         let (response, tx) = match self.agent.client.send(req, self.claimed.is_some()).await {
             Ok(answered) => answered,
             Err(HttpError::NotSent) => {
-                self.agent.admission().set_engine_down(true);
+                // Whether it is down, or only had no room for one more connection, its health says.
+                health::look(&self.agent).await;
                 return Ended::NotRun(Code::EngineUnreachable);
             }
             Err(HttpError::Broken(_)) => return Ended::Broken(Code::EngineFailed),
@@ -113,7 +119,7 @@
         } else {
             self.relay_whole(response, begun).await
         };
-        if matches!(ended, Ended::Whole(_)) {
+        if matches!(ended, Ended::Streamed(_) | Ended::Whole { .. }) {
             self.agent.client.keep(tx);
         }
         ended
@@ -165,11 +171,11 @@
             }
         }
         let whole = done && buf.is_empty();
-        if whole { Ended::Whole(offset) } else { Ended::Broken(Code::EngineFailed) }
+        if whole { Ended::Streamed(offset) } else { Ended::Broken(Code::EngineFailed) }
     }
 
-    /// Collects an answer that is not streamed and passes it on in one piece.
-    async fn relay_whole(&mut self, response: Response<Incoming>, begun: Instant) -> Ended {
+    /// Collects an answer that is not streamed.
+    async fn relay_whole(&self, response: Response<Incoming>, begun: Instant) -> Ended {
         let content_type = content_type(&response);
         let status = response.status().as_u16();
         let limited = http_body_util::Limited::new(response.into_body(), WHOLE_BYTES_MAX);
@@ -177,11 +183,7 @@
         if self.agent.cfg.kind == ServiceKind::Plain {
             self.note_first_byte(begun);
         }
-        let sent = self.send(pieces::head(status, content_type, false)).await;
-        if !sent || !self.send(pieces::data(0, body.to_bytes())).await {
-            return Ended::Cancelled;
-        }
-        Ended::Whole(1)
+        Ended::Whole { status, content_type, body: body.to_bytes() }
     }
 
     /// Passes a piece on; false when nobody listens and the attempt need not go on.
@@ -230,7 +232,7 @@
 
 /// Whether a piece ends an answer.
 pub(crate) fn is_last(piece: &RunPiece) -> bool {
-    matches!(piece.kind, Some(Kind::End(_) | Kind::Refusal(_)) | None)
+    matches!(piece.kind, Some(Kind::End(_) | Kind::Refusal(_) | Kind::Whole(_)) | None)
 }
 
 fn is_stream(response: &Response<Incoming>) -> bool {
@@ -242,7 +244,7 @@
     value.unwrap_or_default().to_owned()
 }
 
-/// Cuts the next whole event, with its blank line, off the buffer.
+/// Network the next whole event, with its blank line, off the buffer.
 fn next_event(buf: &mut BytesMut) -> Option<Bytes> {
     let end = buf.windows(2).position(|w| w == b"\n\n")?;
     Some(buf.split_to(end + 2).freeze())
--- a/crates/agent/src/pieces.rs
+++ b/crates/agent/src/pieces.rs
@@ -9,6 +9,7 @@
 use crocustally_wire::Head;
 use crocustally_wire::Refusal;
 use crocustally_wire::RunPiece;
+use crocustally_wire::Whole;
 use crocustally_wire::run_piece::Kind;
 
 /// The start of an answer.
@@ -26,6 +27,11 @@
     piece(Kind::End(End { count }), Some(load))
 }
 
+/// A whole answer that is not streamed, in one message.
+pub(crate) fn whole(status: u16, content_type: String, body: Bytes, load: Load) -> RunPiece {
+    piece(Kind::Whole(Whole { status: u32::from(status), content_type, body }), Some(load))
+}
+
 /// A refusal or a failure.
 pub(crate) fn refusal(code: Code, ran: Ran, engine_died: bool, load: Load) -> RunPiece {
     let code = u32::from(code.number());
--- a/crates/agent/src/service.rs
+++ b/crates/agent/src/service.rs
@@ -15,6 +15,8 @@
 use crocustally_wire::RevokeRequest;
 use crocustally_wire::RunPiece;
 use crocustally_wire::RunRequest;
+use crocustally_wire::TellReply;
+use crocustally_wire::TellRequest;
 use crocustally_wire::agent_server::Agent as AgentCalls;
 use crocustally_wire::revoke_reply::Outcome;
 use futures_lite::Stream;
@@ -24,6 +26,7 @@
 use tonic::Status;
 
 use crate::Agent;
+use crate::agent::Wanted;
 use crate::answers::Answer;
 use crate::engine_run::EngineRun;
 use crate::engine_run::is_last;
@@ -160,6 +163,13 @@
         Ok(Response::new(RevokeReply { outcome: outcome.into() }))
     }
 
+    async fn tell(&self, req: Request<TellRequest>) -> Result<Response<TellReply>, Status> {
+        let req = req.into_inner();
+        let entry = req.entry.parse().map_err(|_| Status::invalid_argument("entry address"))?;
+        self.agent.told(entry, Wanted { version: req.config_version, leave: req.leave });
+        Ok(Response::new(TellReply { config_version: self.agent.config_version() }))
+    }
+
     async fn gate(&self, _: Request<GateOrder>) -> Result<Response<GateReply>, Status> {
         Err(Status::unimplemented("this endpoint has no step gate"))
     }
--- a/crates/bench/src/args.rs
+++ b/crates/bench/src/args.rs
@@ -10,7 +10,10 @@
 use crocustally_net::Runtime;
 use serde_json::Value;
 
+use crate::capacity;
+use crate::control;
 use crate::domain;
+use crate::overhead;
 use crate::steps;
 use crate::steps::MapPolicy;
 use crate::steps::StepsSettings;
@@ -33,6 +36,16 @@
                 .arg(float("phase-seconds", "4"))
                 .arg(float("rate", "150")),
         )
+        .subcommand(with("capacity", "Slopes for docs/CAPACITY.md"))
+        .subcommand(
+            with("control", "How soon changes are in force, and what control costs")
+                .arg(count("changes", "40"))
+                .arg(count("daemons", "20")),
+        )
+        .subcommand(
+            with("overhead", "What entry and agent add to a direct call")
+                .arg(count("requests", "40000")),
+        )
         .subcommand(
             with("steps", "Step-time skew across ranks and the cost of rebalancing")
                 .arg(count("ranks", "32"))
@@ -79,6 +92,15 @@
             let (phase_s, rate) = (get::<f64>(m, "phase-seconds"), get::<f64>(m, "rate"));
             async_io::block_on(domain::run(&rt, seed, phase_s, rate))
         }
+        "capacity" => async_io::block_on(capacity::run(&rt, seed)),
+        "control" => {
+            let (changes, daemons) = (get::<u64>(m, "changes"), get::<u64>(m, "daemons"));
+            async_io::block_on(control::run(&rt, seed, changes, daemons as usize))
+        }
+        "overhead" => {
+            let requests = get::<u64>(m, "requests") as usize;
+            async_io::block_on(overhead::run(&rt, seed, requests))
+        }
         "steps" => {
             let policy = m.get_one::<String>("policy").and_then(|p| MapPolicy::named(p));
             let policy = policy.unwrap_or(MapPolicy::Incremental);
--- a/crates/bench/src/domain.rs
+++ b/crates/bench/src/domain.rs
@@ -59,9 +59,9 @@
     let new_work_ms = last_work_after(&fleet, accepted_at).as_secs_f64() * 1000.0;
 
     load.set_phase(3);
-    fleet.cuts.set(CUT, true);
+    fleet.network.cut(CUT, true);
     sleep(phase).await;
-    fleet.cuts.set(CUT, false);
+    fleet.network.cut(CUT, false);
 
     load.set_phase(4);
     let back = format!("number: 3\ndomains: [{{name: {LEAVING}}}]\n");
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,9 +4,13 @@
 //! broken. Engines, services and ranks are stand-ins; daemons are the real programs.
 
 mod args;
+mod capacity;
+mod control;
 mod domain;
 mod drift;
 mod load;
+mod overhead;
+mod proc;
 mod stats;
 mod steps;
 
--- a/crates/bench/src/stats.rs
+++ b/crates/bench/src/stats.rs
@@ -26,6 +26,12 @@
         self.hist.saturating_record(us.clamp(1, LONGEST_US));
     }
 
+    /// Adds all times of another one.
+    pub(crate) fn add(&mut self, other: &Self) {
+        // Both have the same bounds, so adding cannot fail.
+        let _ = self.hist.add(&other.hist);
+    }
+
     /// A percentile in microseconds.
     pub(crate) fn us(&self, percent: f64) -> u64 {
         if self.hist.is_empty() { 0 } else { self.hist.value_at_percentile(percent) }
--- /dev/null
+++ b/crates/cli/src/args.rs
@@ -0,0 +1,162 @@
+//! The command line of `crocustally`.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+use crocustally_core::Digest;
+use crocustally_core::control::Ticket;
+use crocustally_net::Runtime;
+
+use crate::demo;
+use crate::operate;
+use crate::operate::Change;
+use crate::report;
+
+/// Threads of the command line; the demo's daemons run on them too.
+const THREADS: usize = 6;
+/// Exit code for input that cannot be used.
+const EXIT_INVALID: u8 = 2;
+
+fn command() -> Command {
+    let entry = Arg::new("entry")
+        .long("entry")
+        .required(true)
+        .action(ArgAction::Append)
+        .value_parser(value_parser!(SocketAddr))
+        .help("Peer address of an entry; may be given several times");
+    let json = Arg::new("json").long("json").action(ArgAction::SetTrue);
+    let file = Arg::new("file").required(true).value_parser(value_parser!(PathBuf));
+    let name = Arg::new("name").required(true);
+    Command::new("crocustally")
+        .about("Operates a crocustally deployment")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(Command::new("check").about("Check a ticket").arg(file.clone()))
+        .subcommand(Command::new("apply").about("Send a ticket").arg(file).arg(entry.clone()))
+        .subcommand(
+            Command::new("status")
+                .about("Show versions in force, lags and cut-off instances")
+                .arg(entry.clone())
+                .arg(json.clone()),
+        )
+        .subcommand(
+            Command::new("report")
+                .about("Show objectives, error budgets and burn rates")
+                .arg(entry.clone())
+                .arg(json)
+                .arg(Arg::new("html").long("html").value_parser(value_parser!(PathBuf))),
+        )
+        .subcommand(
+            Command::new("out")
+                .about("Take a failure domain out")
+                .arg(name.clone())
+                .arg(entry.clone())
+                .arg(
+                    Arg::new("local")
+                        .long("local")
+                        .action(ArgAction::SetTrue)
+                        .help("At this entry and those it reaches, without a quorum"),
+                ),
+        )
+        .subcommand(
+            Command::new("return")
+                .about("Bring a failure domain back")
+                .arg(name.clone())
+                .arg(entry.clone()),
+        )
+        .subcommand(
+            Command::new("drain")
+                .about("Let an endpoint leave")
+                .arg(name.clone())
+                .arg(entry)
+                .arg(Arg::new("undo").long("undo").action(ArgAction::SetTrue)),
+        )
+        .subcommand(
+            Command::new("key-hash")
+                .about("Print the hash of a bearer key, for a ticket")
+                .arg(name),
+        )
+        .subcommand(
+            Command::new("demo").about("Run a whole deployment inside this process").arg(
+                Arg::new("serve")
+                    .long("serve")
+                    .action(ArgAction::SetTrue)
+                    .help("Stay up and print a request that works"),
+            ),
+        )
+}
+
+/// Runs the command line.
+pub fn run() -> ExitCode {
+    let matches = command().get_matches();
+    let Some((verb, m)) = matches.subcommand() else { return ExitCode::from(EXIT_INVALID) };
+    let rt = Runtime::start(THREADS);
+    match verb {
+        "check" => check(m),
+        "key-hash" => {
+            println!("{}", Digest::key_hash(text(m, "name").as_bytes()));
+            ExitCode::SUCCESS
+        }
+        "apply" => match read(m) {
+            Ok(yaml) => async_io::block_on(operate::apply(&rt, &entries(m), &yaml)),
+            Err(code) => code,
+        },
+        "status" => async_io::block_on(operate::status(&rt, &entries(m), m.get_flag("json"))),
+        "report" => {
+            let html = m.get_one::<PathBuf>("html");
+            async_io::block_on(report::run(&rt, &entries(m), m.get_flag("json"), html))
+        }
+        "out" if m.get_flag("local") => {
+            async_io::block_on(operate::local_out(&rt, &entries(m), &text(m, "name")))
+        }
+        "out" => change(&rt, m, Change::DomainOut(text(m, "name"))),
+        "return" => change(&rt, m, Change::DomainIn(text(m, "name"))),
+        "drain" if m.get_flag("undo") => change(&rt, m, Change::EndpointServe(text(m, "name"))),
+        "drain" => change(&rt, m, Change::EndpointDrain(text(m, "name"))),
+        _ => async_io::block_on(demo::run(&rt, m.get_flag("serve"))),
+    }
+}
+
+fn change(rt: &Runtime, m: &ArgMatches, change: Change) -> ExitCode {
+    async_io::block_on(operate::change(rt, &entries(m), &change))
+}
+
+fn check(m: &ArgMatches) -> ExitCode {
+    let yaml = match read(m) {
+        Ok(yaml) => yaml,
+        Err(code) => return code,
+    };
+    match Ticket::from_yaml(&yaml) {
+        Ok(t) => {
+            println!("ticket {} ok, digest {}", t.number(), t.digest().hex());
+            t.touches().iter().for_each(|t| println!("  {t}"));
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("{} {} {}", e.code.number(), e.code.text(), e.detail);
+            ExitCode::from(EXIT_INVALID)
+        }
+    }
+}
+
+fn read(m: &ArgMatches) -> Result<String, ExitCode> {
+    let path = m.get_one::<PathBuf>("file").cloned().unwrap_or_default();
+    std::fs::read_to_string(&path).map_err(|e| {
+        eprintln!("{}: {e}", path.display());
+        ExitCode::from(EXIT_INVALID)
+    })
+}
+
+fn entries(m: &ArgMatches) -> Vec<SocketAddr> {
+    m.get_many::<SocketAddr>("entry").unwrap_or_default().copied().collect()
+}
+
+fn text(m: &ArgMatches, name: &str) -> String {
+    m.get_one::<String>(name).cloned().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/cli/src/report.rs
@@ -0,0 +1,119 @@
+//! The burn report: objectives, budgets left and burn rates, over all entries reached.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use crocustally_core::burn::rate;
+use crocustally_entry::BurnReport;
+use crocustally_net::OperatorClient;
+use crocustally_net::Runtime;
+use serde::Serialize;
+
+use crate::plot;
+
+/// One service and workspace of the report.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct BurnLine {
+    /// Service.
+    pub service: String,
+    /// Workspace.
+    pub workspace: String,
+    /// Requests of the last six hours.
+    pub requests: u64,
+    /// Share of the error budget for whole answers that is left, over six hours.
+    pub whole_budget_left: f64,
+    /// Burn rates of whole answers over 5 minutes, 1 hour, 30 minutes and 6 hours.
+    pub whole_burn: [f64; 4],
+    /// Share of the error budget for the first byte that is left, over six hours.
+    pub first_budget_left: f64,
+    /// Burn rates of the first byte over the same windows.
+    pub first_burn: [f64; 4],
+}
+
+/// Adds up what entries counted and holds it against the objectives.
+pub fn merge(reports: &[BurnReport]) -> Vec<BurnLine> {
+    let mut sums: BTreeMap<(String, String), [[u64; 4]; 4]> = BTreeMap::new();
+    for row in reports.iter().flat_map(|r| &r.rows) {
+        let key = (row.service.clone(), row.workspace.clone());
+        let sum = sums.entry(key).or_default();
+        for (s, w) in sum.iter_mut().flatten().zip(row.windows.iter().flatten()) {
+            *s += w;
+        }
+    }
+    let line = |((service, workspace), w): ((String, String), [[u64; 4]; 4])| {
+        let objectives = reports.iter().find_map(|r| r.objectives.get(&service));
+        let objective = objectives.copied().unwrap_or_default();
+        let whole_burn = w.map(|[all, bad, _, _]| rate((all, bad), objective.whole_per_100k));
+        let first_burn = w.map(|[_, _, all, late]| rate((all, late), objective.first_per_100k));
+        BurnLine {
+            service,
+            workspace,
+            requests: w[3][0],
+            whole_budget_left: 1.0 - whole_burn[3],
+            whole_burn,
+            first_budget_left: 1.0 - first_burn[3],
+            first_burn,
+        }
+    };
+    sums.into_iter().map(line).collect()
+}
+
+/// Asks all entries and shows the report.
+pub(crate) async fn run(
+    rt: &Runtime,
+    entries: &[SocketAddr],
+    json: bool,
+    html: Option<&PathBuf>,
+) -> ExitCode {
+    let mut reports: Vec<BurnReport> = Vec::new();
+    let mut missing = Vec::new();
+    for address in entries {
+        let text = OperatorClient::new(rt, *address).report().await;
+        match text.and_then(|t| serde_json::from_str(&t).ok()) {
+            Some(report) => reports.push(report),
+            None => missing.push(address.to_string()),
+        }
+    }
+    let lines = merge(&reports);
+    if json {
+        println!("{}", serde_json::json!({"lines": lines, "not_reached": missing}));
+    } else {
+        show(&lines, &missing);
+    }
+    if let Some(path) = html
+        && let Err(e) = plot::write(path, &lines, &missing)
+    {
+        eprintln!("{}: {e}", path.display());
+        return ExitCode::FAILURE;
+    }
+    if missing.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn show(lines: &[BurnLine], missing: &[String]) {
+    println!(
+        "{:<12} {:<10} {:>9} {:>12} {:>26} {:>12} {:>26}",
+        "service",
+        "workspace",
+        "requests",
+        "whole left",
+        "burn 5m 1h 30m 6h",
+        "first left",
+        "burn 5m 1h 30m 6h"
+    );
+    let four = |r: &[f64; 4]| r.map(|x| format!("{x:.1}")).join(" ");
+    for l in lines {
+        println!(
+            "{:<12} {:<10} {:>9} {:>11.1}% {:>26} {:>11.1}% {:>26}",
+            l.service,
+            l.workspace,
+            l.requests,
+            l.whole_budget_left * 100.0,
+            four(&l.whole_burn),
+            l.first_budget_left * 100.0,
+            four(&l.first_burn)
+        );
+    }
+    missing.iter().for_each(|m| println!("{m}: not reached"));
+}
--- a/crates/core/src/routing/directory.rs
+++ b/crates/core/src/routing/directory.rs
@@ -12,7 +12,12 @@
 use super::Load;
 
 /// How long an endpoint is believed without a new announcement.
-pub const LEASE: Duration = Duration::from_secs(4);
+pub const LEASE: Duration = Duration::from_secs(6);
+
+/// A limit that changes by more than one part in this many is news.
+const LIMIT_NEWS_SHARE: u32 = 4;
+/// A load that changes by more than one part of the limit in this many is news.
+const LOAD_NEWS_SHARE: u32 = 8;
 
 /// How long a silent endpoint stays in the arena before its place is used again.
 const FORGET: Duration = Duration::from_secs(120);
@@ -119,7 +124,8 @@
         }
     }
 
-    /// What has changed since `after`, and the revision to ask from next time.
+    /// What other entries should hear that has changed since `after`, and the revision to ask from next
+    /// time.
     pub fn since(&self, after: u64) -> (Vec<&Endpoint>, u64) {
         let news = self.slots.iter().flatten().filter(|e| e.revision > after).collect();
         (news, self.revision)
@@ -163,13 +169,16 @@
     }
 
     fn update(&mut self, now: Instant, key: EndpointKey, said: Announcement, restarted: bool) {
-        self.revision += 1;
+        let news = restarted || self.get(key).is_none_or(|e| is_news(&e.said, &said));
+        self.revision += u64::from(news);
         let revision = self.revision;
         let Some(e) = self.get_mut(key) else { return };
         e.expires = e.expires.max((now + LEASE).checked_sub(said.age).unwrap_or(now));
         e.said_at = now.checked_sub(said.age).unwrap_or(now);
         e.own_at_report = e.own;
-        e.revision = revision;
+        if news {
+            e.revision = revision;
+        }
         if restarted || e.lost_at.is_some_and(|lost| e.said_at > lost) {
             e.lost_at = None;
             e.pause_until = None;
@@ -178,3 +187,14 @@
         e.said = said;
     }
 }
+
+/// Whether an announcement says something that other entries should hear before the next refresh.
+fn is_news(old: &Announcement, new: &Announcement) -> bool {
+    let (a, b) = (old.load, new.load);
+    let limits = a.limit.abs_diff(b.limit) * LIMIT_NEWS_SHARE > a.limit.max(1);
+    limits
+        || a.draining != b.draining
+        || a.engine_start != b.engine_start
+        || a.in_flight.abs_diff(b.in_flight) * LOAD_NEWS_SHARE > b.limit.max(1)
+        || old.config_version != new.config_version
+}
--- a/crates/entry/src/burn.rs
+++ b/crates/entry/src/burn.rs
@@ -1,5 +1,6 @@
 //! [`BurnBook`]: this entry's counts for the burn report.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -26,6 +27,15 @@
     pub windows: [[u64; 4]; 4],
 }
 
+/// What one entry tells for the report.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct BurnReport {
+    /// Objectives by service, from the configuration in force.
+    pub objectives: BTreeMap<String, Objective>,
+    /// Counts.
+    pub rows: Vec<BurnRow>,
+}
+
 /// Windows of a [`BurnRow`], in its order.
 pub(crate) const WINDOWS: [Duration; 4] = [FAST.short, FAST.long, SLOW.short, SLOW.long];
 
--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_io::Timer;
 use crocustally_core::Code;
 use crocustally_core::Digest;
 use crocustally_core::Ran;
@@ -18,6 +19,7 @@
 use crocustally_wire::RevokeRequest;
 use crocustally_wire::RunPiece;
 use crocustally_wire::RunRequest;
+use crocustally_wire::Whole;
 use crocustally_wire::agent_client::AgentClient;
 use crocustally_wire::revoke_reply::Outcome;
 use crocustally_wire::run_piece::Kind;
@@ -38,6 +40,8 @@
 pub(crate) enum Piece {
     /// The start of the answer.
     Head(Head),
+    /// The whole answer in one.
+    Whole(Whole),
     /// A part of it.
     Data(Data),
     /// Its end: one past the offset of the last part.
@@ -63,6 +67,7 @@
 pub(crate) struct Call {
     stream: Streaming<RunPiece>,
     deadline: Instant,
+    timer: Option<Timer>,
     /// Load that came with the last piece.
     pub(crate) load: Option<Load>,
 }
@@ -105,7 +110,9 @@
 ) -> Result<Call, Ran> {
     let mut client = AgentClient::with_origin(channel.clone(), channel.origin());
     match client.run(req).await {
-        Ok(response) => Ok(Call { stream: response.into_inner(), deadline, load: None }),
+        Ok(response) => {
+            Ok(Call { stream: response.into_inner(), deadline, timer: None, load: None })
+        }
         Err(status) if not_connected(&status) => Err(Ran::No),
         Err(_) => Err(Ran::Unknown),
     }
@@ -122,7 +129,7 @@
     let mut client = AgentClient::with_origin(channel.clone(), channel.origin());
     let req = AttachRequest { attempt: attempt.to_bytes(), incarnation };
     let stream = client.attach(req).await.ok()?.into_inner();
-    Some(Call { stream, deadline, load: None })
+    Some(Call { stream, deadline, timer: None, load: None })
 }
 
 /// Asks over a fresh connection that an attempt never start; `None` when the agent cannot be asked.
@@ -175,22 +182,37 @@
         if left <= patience {
             return self.next(now).await;
         }
-        timeout(patience, self.next(now)).await.unwrap_or(Piece::Slow)
+        match timeout(patience, self.stream.message()).await {
+            None => Piece::Slow,
+            Some(message) => self.piece(message),
+        }
     }
 
     /// The next piece; after the end mark or a refusal there is none to ask for.
+    ///
+    /// One timer serves the whole call: setting one for each piece would wake the reactor each time.
     pub(crate) async fn next(&mut self, now: Instant) -> Piece {
         let left = self.deadline.saturating_duration_since(now);
-        let message = match timeout(left, self.stream.message()).await {
-            None => return Piece::Late,
-            Some(Ok(Some(message))) => message,
-            Some(Ok(None) | Err(_)) => return Piece::Lost,
+        let timer = self.timer.get_or_insert_with(|| Timer::after(left));
+        let late = async {
+            timer.await;
+            None
         };
+        let message = async { Some(self.stream.message().await) };
+        match futures_lite::future::or(message, late).await {
+            None => Piece::Late,
+            Some(message) => self.piece(message),
+        }
+    }
+
+    fn piece(&mut self, message: Result<Option<RunPiece>, Status>) -> Piece {
+        let Ok(Some(message)) = message else { return Piece::Lost };
         if let Some(load) = &message.load {
             self.load = Some(load.into());
         }
         match message.kind {
             Some(Kind::Head(head)) => Piece::Head(head),
+            Some(Kind::Whole(whole)) => Piece::Whole(whole),
             Some(Kind::Data(data)) => Piece::Data(data),
             Some(Kind::End(end)) => Piece::End(end.count),
             Some(Kind::Refusal(r)) => refused(&r),
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -101,7 +101,11 @@
         let follower = entry.clone();
         rt.spawn(async move {
             while let Ok(machine) = views.recv().await {
+                let version = follower.config().version;
                 follower.adopt(machine.config().clone(), machine.suspects().clone());
+                if follower.config().version > version {
+                    follower.tell_agents();
+                }
             }
         });
         // Peers must be able to ask while a stopping entry lets its last requests end, so this
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -12,6 +12,7 @@
 use crocustally_net::coded_response;
 use crocustally_net::full_body;
 use crocustally_net::timeout;
+use crocustally_wire::Whole;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -31,6 +32,9 @@
 use crate::once;
 use crate::relay;
 
+/// Status of an answer whose own status is none.
+const BAD_GATEWAY: u16 = 502;
+
 /// An answer that has arrived whole.
 #[derive(Clone, Debug)]
 pub(crate) struct WholeAnswer {
@@ -39,6 +43,13 @@
     pub(crate) body: Bytes,
 }
 
+impl From<Whole> for WholeAnswer {
+    fn from(w: Whole) -> Self {
+        let status = u16::try_from(w.status).unwrap_or(BAD_GATEWAY);
+        Self { status, content_type: w.content_type, body: w.body }
+    }
+}
+
 /// Answers one request of a caller.
 pub(crate) async fn answer(entry: Arc<Entry>, req: Request<Incoming>) -> Response<ResponseBody> {
     let busy = entry.shutdown.busy();
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -10,6 +10,8 @@
 use crocustally_core::control::DEATHS_MAX;
 use crocustally_core::control::Suspects;
 use crocustally_core::routing::Announcement;
+use crocustally_core::routing::Endpoint;
+use crocustally_core::routing::EndpointKey;
 use crocustally_core::routing::Grants;
 use crocustally_core::routing::Merged;
 use crocustally_net::Channel;
@@ -18,12 +20,16 @@
 use crocustally_wire::EndpointRecord;
 use crocustally_wire::GossipRequest;
 use crocustally_wire::PullRequest;
+use crocustally_wire::TellRequest;
+use crocustally_wire::agent_client::AgentClient;
 use crocustally_wire::entry_client::EntryClient;
 
 use crate::Entry;
 
 /// Time between two rounds with one peer.
 const PERIOD: Duration = Duration::from_millis(1000);
+/// Every so many rounds a peer is told of all endpoints, so that their leases hold there too.
+const REFRESH_ROUNDS: u64 = 2;
 /// Longest time for one round.
 const ROUND_TIMEOUT: Duration = Duration::from_millis(1500);
 /// A peer silent for this long counts as cut off.
@@ -55,7 +61,12 @@
 async fn talk(entry: Arc<Entry>, name: String, channel: Channel) {
     let mut client = EntryClient::with_origin(channel.clone(), channel.origin());
     let mut told = Revisions::new();
+    let mut round = 0_u64;
     loop {
+        round += 1;
+        if round.is_multiple_of(REFRESH_ROUNDS) {
+            told.clear();
+        }
         let (records, revision) = entry.news(&told);
         let req = GossipRequest {
             entry: entry.cfg.name.clone(),
@@ -161,6 +172,51 @@
         (records, newest)
     }
 
+    /// Tells the agents that announce themselves here what the configuration wants of them now,
+    /// without waiting for their next announcement.
+    pub(crate) fn tell_agents(self: &Arc<Self>) {
+        let config = self.config();
+        for (service, shard) in self.named_shards() {
+            let told = shard.with(|core| {
+                let direct = core.directory.iter().filter(|(_, e)| e.direct);
+                let word = |(key, e): (EndpointKey, &Endpoint)| {
+                    let leave =
+                        self.domain_out(&e.said.domain) || config.endpoint_draining(&e.said.name);
+                    (key, e.said.address.clone(), leave)
+                };
+                direct.map(word).collect::<Vec<_>>()
+            });
+            for (key, address, leave) in told {
+                let (entry, service) = (self.clone(), service.clone());
+                let version = config.version;
+                self.rt.spawn(async move {
+                    entry.tell_agent(&service, key, &address, version, leave).await;
+                });
+            }
+        }
+    }
+
+    async fn tell_agent(
+        &self,
+        service: &str,
+        key: EndpointKey,
+        address: &str,
+        config_version: u64,
+        leave: bool,
+    ) {
+        let Some(channel) = self.agent(address) else { return };
+        let mut client = AgentClient::with_origin(channel.clone(), channel.origin());
+        let entry = self.cfg.peer_listen.to_string();
+        let req = TellRequest { entry, config_version, leave };
+        let Some(Ok(reply)) = timeout(ROUND_TIMEOUT, client.tell(req)).await else { return };
+        let version = reply.into_inner().config_version;
+        self.shard(service).with(|core| {
+            if let Some(e) = core.directory.get_mut(key) {
+                e.said.config_version = e.said.config_version.max(version);
+            }
+        });
+    }
+
     /// Tells every entry that can be reached that a request is refused from now on.
     pub(crate) async fn tell_quarantine(&self, digest: Digest) {
         self.hear_quarantine(&[digest.to_bytes()]);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,6 +23,7 @@
 mod settings;
 mod shard;
 
+pub use burn::BurnReport;
 pub use burn::BurnRow;
 pub use entry::Entry;
 pub use entry::EntryAddresses;
--- a/crates/entry/src/log_driver.rs
+++ b/crates/entry/src/log_driver.rs
@@ -107,6 +107,8 @@
     names: HashMap<ReplicaId, String>,
     heard: HashMap<ReplicaId, Instant>,
     led_since: Option<Instant>,
+    /// Role and leader when they were last published.
+    noted: (Role, Option<ReplicaId>),
     stopped: bool,
 }
 
@@ -141,6 +143,7 @@
             names: HashMap::new(),
             heard: HashMap::new(),
             led_since: None,
+            noted: (Role::Follower, None),
             stopped: false,
         }
     }
@@ -203,7 +206,6 @@
 
     /// Syncs, sends and applies everything that is ready.
     fn advance(&mut self) {
-        let role = self.replica.role();
         let ready = self.replica.ready();
         let changed = ready.snapshot.is_some() || !ready.committed.is_empty();
         if let Err(e) = self.store(&ready) {
@@ -222,8 +224,7 @@
             self.stopped = true;
             return;
         }
-        self.note_role(role);
-        if changed || role != self.replica.role() {
+        if self.note_role() || changed {
             self.publish();
         }
         for (reply, outcome) in outcomes {
@@ -268,19 +269,22 @@
         outcomes
     }
 
-    /// A replica that no longer leads cannot say what becomes of what it proposed.
-    fn note_role(&mut self, before: Role) {
-        let now = self.replica.role();
-        if now != Role::Leader {
+    /// Notes what the replica is doing; answers whether that has changed. A replica that no longer
+    /// leads cannot say what becomes of what it proposed.
+    fn note_role(&mut self) -> bool {
+        let (before, now) = (self.noted, (self.replica.role(), self.replica.leader()));
+        self.noted = now;
+        if now.0 != Role::Leader {
             self.waiting.clear();
             self.led_since = None;
         } else if self.led_since.is_none() {
             self.led_since = Some(self.clock.now());
         }
-        if before != now {
-            let term = self.replica.term();
-            log::info!("replica {}: {before:?} to {now:?} in term {term}", self.replica.id().0);
+        if before.0 != now.0 {
+            let (id, term) = (self.replica.id().0, self.replica.term());
+            log::info!("replica {id}: {:?} to {:?} in term {term}", before.0, now.0);
         }
+        before != now
     }
 
     fn publish(&self) {
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -350,6 +350,7 @@
     let mut next = 0;
     loop {
         match call.next(entry.clock.now()).await {
+            Piece::Whole(whole) => return Ok(whole.into()),
             Piece::Head(h) => head = Some(h),
             Piece::Data(data) if data.offset == next => {
                 body.extend_from_slice(&data.bytes);
--- a/crates/entry/src/peer_service.rs
+++ b/crates/entry/src/peer_service.rs
@@ -31,6 +31,7 @@
 use tonic::Response;
 use tonic::Status;
 
+use crate::BurnReport;
 use crate::Entry;
 
 /// Answers calls on behalf of one [`Entry`].
@@ -123,8 +124,10 @@
 
     async fn report(&self, _: Request<ReportRequest>) -> Result<Response<ReportReply>, Status> {
         let now = Duration::from_millis(self.entry.clock.unix_ms());
-        let json = serde_json::to_string(&self.entry.burn.rows(now))
-            .map_err(|e| Status::internal(e.to_string()))?;
+        let services = self.entry.config();
+        let objectives = services.services.iter().map(|(n, s)| (n.clone(), s.objective)).collect();
+        let report = BurnReport { objectives, rows: self.entry.burn.rows(now) };
+        let json = serde_json::to_string(&report).map_err(|e| Status::internal(e.to_string()))?;
         Ok(Response::new(ReportReply { json }))
     }
 
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -66,6 +66,14 @@
     call: Call,
 }
 
+/// The answer of a request that was sent.
+enum Begun {
+    /// It has begun, and goes on.
+    Live(Head, Live),
+    /// It is there.
+    Whole(WholeAnswer),
+}
+
 /// One request on its way to a whole answer.
 struct Relay {
     entry: Arc<Entry>,
@@ -103,8 +111,9 @@
         _busy: busy,
     };
     let result = match relay.begin().await {
-        Ok((head, live)) if head.stream && stream => return relay.stream(&head, live),
-        Ok((head, live)) => relay.collect(head, live).await,
+        Ok(Begun::Whole(whole)) => Ok(whole),
+        Ok(Begun::Live(head, live)) if head.stream && stream => return relay.stream(&head, live),
+        Ok(Begun::Live(head, live)) => relay.collect(head, live).await,
         Err(code) => Err(code),
     };
     let code = result.as_ref().err().copied();
@@ -116,7 +125,7 @@
 
 impl Relay {
     /// Sends the request until an answer begins, or a refusal is final.
-    async fn begin(&mut self) -> Result<(Head, Live), Code> {
+    async fn begin(&mut self) -> Result<Begun, Code> {
         loop {
             self.check_suspect()?;
             let mut place = self.place().await?;
@@ -132,7 +141,12 @@
                 Ok(mut call) => match call.first(now, self.patience(&place)).await {
                     Piece::Head(head) => {
                         place.began();
-                        return Ok((head, Live { place, call }));
+                        return Ok(Begun::Live(head, Live { place, call }));
+                    }
+                    Piece::Whole(whole) => {
+                        self.note_first_byte();
+                        place.finish(Ended::Answered, call.load);
+                        return Ok(Begun::Whole(whole.into()));
                     }
                     other => self.failed(Live { place, call }, other).await?,
                 },
@@ -346,7 +360,10 @@
                 }
             };
             self.failed(live, broken).await?;
-            (head, live) = self.begin().await?;
+            match self.begin().await? {
+                Begun::Whole(whole) => return Ok(whole),
+                Begun::Live(h, l) => (head, live) = (h, l),
+            }
         }
     }
 
@@ -381,7 +398,8 @@
             }
             metrics::counter!("crocustally_resumed_total").increment(1);
             match self.begin().await {
-                Ok((_, again)) => live = Some(again),
+                Ok(Begun::Live(_, again)) => live = Some(again),
+                Ok(Begun::Whole(_)) => break Some(Code::AnswerBroken),
                 Err(code) => break Some(code),
             }
         };
@@ -415,7 +433,9 @@
                 }
                 Piece::End(count) if count == self.next => return Ok(()),
                 // A gap, or an end before everything has come: this attempt is of no more use.
-                Piece::Data(_) | Piece::End(_) | Piece::Head(_) => return Err(Some(Piece::Lost)),
+                Piece::Data(_) | Piece::End(_) | Piece::Head(_) | Piece::Whole(_) => {
+                    return Err(Some(Piece::Lost));
+                }
                 other => return Err(Some(other)),
             }
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,5 +23,5 @@
 pub use processes::ProcessFleet;
 pub use processes::Programs;
 pub use stand::Stand;
-pub use tcp_relay::Cuts;
+pub use tcp_relay::Network;
 pub use tcp_relay::TcpRelay;
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -223,7 +223,9 @@
             self.settings.threads,
         );
         let others = self.entries.iter().filter(|p| p.name != e.name);
-        out.push_str("peers:\n");
+        if self.entries.len() > 1 {
+            out.push_str("peers:\n");
+        }
         for p in others {
             let address = p.advertise.unwrap_or(p.peers);
             let line =
--- a/crates/fleet/src/processes.rs
+++ b/crates/fleet/src/processes.rs
@@ -20,7 +20,7 @@
 use rustix::process::Signal;
 use rustix::process::kill_process;
 
-use crate::Cuts;
+use crate::Network;
 use crate::Plan;
 use crate::Stand;
 use crate::TcpRelay;
@@ -57,8 +57,8 @@
     pub plan: Plan,
     /// Its stand-ins, in this process.
     pub stand: Stand,
-    /// Domains that are cut off, where the plan has relays.
-    pub cuts: Cuts,
+    /// Its network, where the plan has relays.
+    pub network: Network,
     programs: Programs,
     rt: Runtime,
     entries: Vec<Option<Child>>,
@@ -90,7 +90,7 @@
 }
 
 /// Starts a relay before every instance of the plan that has one.
-async fn start_relays(rt: &Runtime, plan: &Plan, cuts: &Cuts) -> io::Result<()> {
+async fn start_relays(rt: &Runtime, plan: &Plan, network: &Network) -> io::Result<()> {
     let shared = Arc::new(plan.clone());
     let entries = plan.entries.iter().map(|e| (e.advertise, e.peers));
     let agents = plan.agents.iter().map(|a| (a.advertise, a.listen));
@@ -98,7 +98,7 @@
         if let Some(listen) = advertise
             && !plan.own_relays.contains(&listen)
         {
-            TcpRelay::start_in(rt, &shared, listen, target, cuts).await?;
+            TcpRelay::start_in(rt, &shared, listen, target, network).await?;
         }
     }
     Ok(())
@@ -109,11 +109,11 @@
     pub async fn start(rt: &Runtime, plan: Plan, programs: Programs) -> io::Result<Self> {
         std::fs::create_dir_all(&plan.folder)?;
         let stand = Stand::start(rt, &plan).await?;
-        let cuts = Cuts::default();
-        start_relays(rt, &plan, &cuts).await?;
+        let network = Network::default();
+        start_relays(rt, &plan, &network).await?;
         let entries = plan.entries.iter().map(|_| None).collect();
         let agents = plan.agents.iter().map(|_| None).collect();
-        let mut fleet = Self { plan, stand, cuts, programs, rt: rt.clone(), entries, agents };
+        let mut fleet = Self { plan, stand, network, programs, rt: rt.clone(), entries, agents };
         for i in 0..fleet.entries.len() {
             fleet.start_entry(i)?;
         }
--- a/crates/fleet/src/tcp_relay.rs
+++ b/crates/fleet/src/tcp_relay.rs
@@ -6,6 +6,7 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -38,15 +39,17 @@
     connections: Arc<Mutex<Vec<Arc<Faults>>>>,
 }
 
-/// Failure domains that are cut off from all others, shared by the relays of a deployment.
+/// The network of a deployment, shared by its relays: which failure domains are cut off from all
+/// others, and how much has passed.
 #[derive(Clone, Debug, Default)]
-pub struct Cuts {
+pub struct Network {
     domains: Arc<Mutex<BTreeSet<String>>>,
+    bytes: Arc<AtomicU64>,
 }
 
-impl Cuts {
-    /// Cuts a domain off, or connects it again.
-    pub fn set(&self, domain: &str, cut: bool) {
+impl Network {
+    /// Network a domain off, or connects it again.
+    pub fn cut(&self, domain: &str, cut: bool) {
         let mut domains = self.domains.lock().unwrap_or_else(PoisonError::into_inner);
         if cut {
             domains.insert(domain.to_owned());
@@ -55,6 +58,11 @@
         }
     }
 
+    /// Bytes that have passed so far, in both directions, without the headers below TCP.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
     fn between(&self, a: &str, b: &str) -> bool {
         let domains = self.domains.lock().unwrap_or_else(PoisonError::into_inner);
         a != b && (domains.contains(a) || domains.contains(b))
@@ -68,25 +76,26 @@
         listen: SocketAddr,
         target: SocketAddr,
     ) -> std::io::Result<Self> {
-        Self::start_between(rt, listen, target, |_| || false).await
+        Self::start_between(rt, listen, target, |_| || false, Arc::default()).await
     }
 
-    /// Starts a relay before an instance of `plan`, which obeys the cuts between domains.
+    /// Starts a relay before an instance of `plan`, which obeys the network between domains.
     pub async fn start_in(
         rt: &Runtime,
         plan: &Arc<Plan>,
         listen: SocketAddr,
         target: SocketAddr,
-        cuts: &Cuts,
+        network: &Network,
     ) -> std::io::Result<Self> {
-        let (plan, cuts) = (plan.clone(), cuts.clone());
+        let (plan, network) = (plan.clone(), network.clone());
+        let bytes = network.bytes.clone();
         let own = plan.domain_of(target.ip()).unwrap_or_default().to_owned();
         let cut_from = move |client: SocketAddr| {
             let other = plan.domain_of(client.ip()).unwrap_or(&own).to_owned();
-            let (own, cuts) = (own.clone(), cuts.clone());
-            move || cuts.between(&own, &other)
+            let (own, network) = (own.clone(), network.clone());
+            move || network.between(&own, &other)
         };
-        Self::start_between(rt, listen, target, cut_from).await
+        Self::start_between(rt, listen, target, cut_from, bytes).await
     }
 
     async fn start_between<C: Fn() -> bool + Clone + Send + Sync + 'static>(
@@ -94,6 +103,7 @@
         listen: SocketAddr,
         target: SocketAddr,
         cut_from: impl Fn(SocketAddr) -> C + Send + 'static,
+        bytes: Arc<AtomicU64>,
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
@@ -103,8 +113,8 @@
             while let Ok((client, from)) = listener.accept().await {
                 let faults = Arc::new(Faults::default());
                 this.lock().push(faults.clone());
-                let cut = cut_from(from);
-                runtime.spawn(forward(runtime.clone(), client, target, faults, cut));
+                let path = Path { faults, cut: cut_from(from), bytes: bytes.clone() };
+                runtime.spawn(forward(runtime.clone(), client, target, path));
             }
         });
         Ok(relay)
@@ -128,28 +138,41 @@
     }
 }
 
-async fn forward(
+/// What happens to the bytes of one connection.
+#[derive(Clone)]
+struct Path<C> {
+    faults: Arc<Faults>,
+    cut: C,
+    bytes: Arc<AtomicU64>,
+}
+
+async fn forward<C: Fn() -> bool + Clone + Send + Sync + 'static>(
     rt: Runtime,
     client: TcpStream,
     target: SocketAddr,
-    faults: Arc<Faults>,
-    cut: impl Fn() -> bool + Clone + Send + Sync + 'static,
+    path: Path<C>,
 ) {
-    while cut() {
+    while (path.cut)() {
         sleep(POLL).await;
     }
     let Ok(server) = TcpStream::connect(target).await else { return };
     let _ = client.set_nodelay(true);
     let _ = server.set_nodelay(true);
-    let (up, down) = (faults.clone(), faults);
-    let (cut_up, cut_down) = (cut.clone(), cut);
-    let silent = move || up.to_server_silent.load(Ordering::Acquire) || cut_up();
-    rt.spawn(copy(client.clone(), server.clone(), silent));
-    let silent = move || down.to_client_silent.load(Ordering::Acquire) || cut_down();
-    copy(server, client, silent).await;
+    let (up, down) = (path.clone(), path);
+    let bytes = up.bytes.clone();
+    let silent = move || up.faults.to_server_silent.load(Ordering::Acquire) || (up.cut)();
+    rt.spawn(copy(client.clone(), server.clone(), silent, bytes));
+    let bytes = down.bytes.clone();
+    let silent = move || down.faults.to_client_silent.load(Ordering::Acquire) || (down.cut)();
+    copy(server, client, silent, bytes).await;
 }
 
-async fn copy(mut from: TcpStream, mut to: TcpStream, silent: impl Fn() -> bool + Send) {
+async fn copy(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    silent: impl Fn() -> bool + Send,
+    bytes: Arc<AtomicU64>,
+) {
     let mut buf = vec![0; CHUNK_BYTES];
     loop {
         let n = match from.read(&mut buf).await {
@@ -159,6 +182,7 @@
         while silent() {
             sleep(POLL).await;
         }
+        bytes.fetch_add(n as u64, Ordering::Relaxed);
         if to.write_all(&buf[..n]).await.is_err() {
             break;
         }
