--- a/crates/agent/src/service.rs
+++ b/crates/agent/src/service.rs
@@ -33,7 +33,7 @@
 use crate::pieces;
 
 /// Pieces that may wait between engine and entry.
-const PIECES_WAITING: usize = 64;
+const PIECES_WAITING: usize = 8;
 
 type Pieces = Pin<Box<dyn Stream<Item = Result<RunPiece, Status>> + Send>>;
 
--- a/crates/core/src/agent/admission.rs
+++ b/crates/core/src/agent/admission.rs
@@ -110,10 +110,12 @@
         self.smooth_first_s += SMOOTHING * (took_s - self.smooth_first_s);
         let floor = OVERLOAD_FLOOR.as_secs_f64();
         if self.smooth_first_s > floor && self.smooth_first_s > best * COLD_RATIO {
-            self.turn_cold();
+            // The best time is kept, so that the limit stays small until the engine is itself again.
+            self.limit = f64::from(self.bounds.start);
+            self.smooth_first_s = 0.0;
         } else if self.smooth_first_s > floor && self.smooth_first_s > best * OVERLOAD_RATIO {
             self.decrease(now);
-        } else if f64::from(self.in_flight) >= self.limit * USED_TO_GROW {
+        } else if f64::from(self.in_flight) >= f64::from(self.limit()) * USED_TO_GROW {
             self.limit = (self.limit + 1.0 / self.limit).min(f64::from(self.bounds.max));
         }
     }
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -43,7 +43,7 @@
 /// Factor on the score of an endpoint in another failure domain.
 const OTHER_DOMAIN: f64 = 1.25;
 /// Factor on the score of the endpoint that has the prefix cached.
-const CACHED: f64 = 0.35;
+const CACHED: f64 = 0.2;
 /// Factor on the score of an endpoint in a domain where another one has just been lost.
 const DOUBTED_DOMAIN: f64 = 4.0;
 /// Share of its limit up to which an endpoint is preferred for its cache.
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -45,7 +45,7 @@
 use crate::shard::Shard;
 
 /// Events that may wait for a slow caller.
-const EVENTS_WAITING: usize = 64;
+const EVENTS_WAITING: usize = 8;
 /// Longest back-off before asking for a place again when the retry budget is spent.
 const BACK_OFF_MAX_MS: u64 = 120;
 /// Shortest one.
@@ -69,7 +69,7 @@
 /// The answer of a request that was sent.
 enum Begun {
     /// It has begun, and goes on.
-    Live(Head, Live),
+    Live(Box<(Head, Live)>),
     /// It is there.
     Whole(WholeAnswer),
 }
@@ -112,8 +112,8 @@
     };
     let result = match relay.begin().await {
         Ok(Begun::Whole(whole)) => Ok(whole),
-        Ok(Begun::Live(head, live)) if head.stream && stream => return relay.stream(&head, live),
-        Ok(Begun::Live(head, live)) => relay.collect(head, live).await,
+        Ok(Begun::Live(begun)) if begun.0.stream && stream => return relay.stream(*begun),
+        Ok(Begun::Live(begun)) => relay.collect(*begun).await,
         Err(code) => Err(code),
     };
     let code = result.as_ref().err().copied();
@@ -141,7 +141,7 @@
                 Ok(mut call) => match call.first(now, self.patience(&place)).await {
                     Piece::Head(head) => {
                         place.began();
-                        return Ok(Begun::Live(head, Live { place, call }));
+                        return Ok(Begun::Live(Box::new((head, Live { place, call }))));
                     }
                     Piece::Whole(whole) => {
                         self.note_first_byte();
@@ -338,8 +338,8 @@
     // Answers
 
     /// Collects an answer that is not streamed; a broken one starts again from nothing.
-    async fn collect(&mut self, head: Head, live: Live) -> Result<WholeAnswer, Code> {
-        let (mut head, mut live) = (head, live);
+    async fn collect(&mut self, begun: (Head, Live)) -> Result<WholeAnswer, Code> {
+        let (mut head, mut live) = begun;
         loop {
             let mut body = BytesMut::new();
             let mut next = 0;
@@ -362,13 +362,13 @@
             self.failed(live, broken).await?;
             match self.begin().await? {
                 Begun::Whole(whole) => return Ok(whole),
-                Begun::Live(h, l) => (head, live) = (h, l),
+                Begun::Live(again) => (head, live) = *again,
             }
         }
     }
 
     /// Answers with events as they come; the rest goes on in the background.
-    fn stream(self, head: &Head, live: Live) -> Response<ResponseBody> {
+    fn stream(self, (head, live): (Head, Live)) -> Response<ResponseBody> {
         let (tx, rx) = async_channel::bounded(EVENTS_WAITING);
         let rt = self.entry.rt.clone();
         rt.spawn(self.pump(live, tx));
@@ -398,7 +398,7 @@
             }
             metrics::counter!("crocustally_resumed_total").increment(1);
             match self.begin().await {
-                Ok(Begun::Live(_, again)) => live = Some(again),
+                Ok(Begun::Live(again)) => live = Some(again.1),
                 Ok(Begun::Whole(_)) => break Some(Code::AnswerBroken),
                 Err(code) => break Some(code),
             }
--- a/crates/net/src/settings.rs
+++ b/crates/net/src/settings.rs
@@ -62,7 +62,9 @@
 /// The conversion knows keys but not lines, so look the key up in the text.
 fn add_line(e: &mut SettingsError, text: &str) {
     let last = e.key.rsplit('.').next().unwrap_or(&e.key);
-    let is_key = |l: &str| l.trim_start().trim_start_matches("- ").starts_with(&format!("{last}:"));
+    let words = format!("{last}:");
+    let is_key =
+        |l: &str| l.match_indices(&words).any(|(at, _)| at == 0 || " {,".contains(&l[at - 1..at]));
     if let Some(line) = text.lines().position(is_key) {
         e.detail = format!("{} (line {})", e.detail, line + 1);
     }
--- /dev/null
+++ b/crates/programs/tests/input.rs
@@ -0,0 +1,146 @@
+//! Bad input and slow callers: numbered codes, and a true word on whether the request ran.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::time::Duration;
+
+use async_net::TcpStream;
+use common::programs;
+use common::ready_fleet;
+use common::run;
+use crocustally_fleet::FleetSettings;
+use crocustally_fleet::ProcessFleet;
+use crocustally_fleet::workspace_key;
+use crocustally_net::timeout;
+use futures_lite::AsyncReadExt;
+use futures_lite::AsyncWriteExt;
+
+/// Sends bytes as they are and reads until the entry closes, or has answered and is silent.
+async fn raw(fleet: &ProcessFleet, text: &[u8], patience: Duration) -> String {
+    let mut stream = TcpStream::connect(fleet.plan.entries[0].callers).await.unwrap();
+    // The entry may refuse and close before it has read everything.
+    let _ = stream.write_all(text).await;
+    let mut out = Vec::new();
+    let mut buf = [0; 4096];
+    while let Some(Ok(n)) = timeout(patience, stream.read(&mut buf)).await {
+        if n == 0 {
+            break;
+        }
+        out.extend_from_slice(&buf[..n]);
+        let text = String::from_utf8_lossy(&out);
+        if text.contains("\r\n\r\n") && text.ends_with('\n') {
+            break;
+        }
+    }
+    String::from_utf8_lossy(&out).into_owned()
+}
+
+fn head(path: &str, key: &str, more: &str, length: usize) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {key}\r\n{more}\
+         content-length: {length}\r\n\r\n"
+    )
+}
+
+fn is_refusal(answer: &str, status: u16, code: u32) {
+    let lower = answer.to_ascii_lowercase();
+    assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{answer}");
+    assert!(lower.contains(&format!("x-crocustally-code: {code}\r\n")), "{answer}");
+    assert!(lower.contains("x-crocustally-run: no\r\n"), "{answer}");
+}
+
+const PATIENCE: Duration = Duration::from_secs(3);
+const CHAT: &str = "/v1/chat/completions";
+
+#[test]
+fn every_kind_of_bad_input_gets_its_code() {
+    run(|rt| async move {
+        let settings = FleetSettings {
+            entries: 1,
+            domains: 1,
+            assistants: 1,
+            portals: 1,
+            ..Default::default()
+        };
+        let fleet = ready_fleet(&rt, settings).await;
+        let key = workspace_key(0);
+        let body = r#"{"messages":[{"role":"user","content":"hej"}]}"#;
+        let with_body = |head: String| [head.as_bytes(), body.as_bytes()].concat();
+        let cases: Vec<(Vec<u8>, u16, u32)> = vec![
+            (head(CHAT, &key, &format!("x-long: {}\r\n", "a".repeat(40_000)), 0).into(), 431, 1001),
+            (head(CHAT, &key, "", 5_000_000).into(), 413, 1002),
+            (with_body(head(CHAT, &key, "", body.len() - 3)), 400, 1003),
+            (head(CHAT, &key, "", 0).into(), 400, 1003),
+            (with_body(head(CHAT, "nobody", "", body.len())), 401, 1004),
+            (with_body(head("/elsewhere", &key, "", body.len())), 404, 1005),
+            (with_body(head(CHAT, &key, "content-length: 3\r\n", body.len())), 400, 1006),
+            (b"nonsense\r\n\r\n".to_vec(), 400, 1006),
+            (with_body(head("/bookings", &key, "idempotency-key: \r\n", body.len())), 400, 1008),
+        ];
+        for (text, status, code) in cases {
+            is_refusal(&raw(&fleet, &text, PATIENCE).await, status, code);
+        }
+        assert_eq!(fleet.stand.journal.keys(), 0);
+        assert_eq!(fleet.stand.engines[0].cache_use().0, 0);
+    });
+}
+
+#[test]
+fn a_slow_caller_is_told_so() {
+    run(|rt| async move {
+        let settings = FleetSettings {
+            entries: 1,
+            domains: 1,
+            assistants: 1,
+            portals: 0,
+            ..Default::default()
+        };
+        let fleet = ready_fleet(&rt, settings).await;
+        let patience = Duration::from_secs(15);
+        let half_a_header = b"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n";
+        is_refusal(&raw(&fleet, half_a_header, patience).await, 408, 1007);
+        let half_a_body = head(CHAT, &workspace_key(0), "", 100) + "{";
+        is_refusal(&raw(&fleet, half_a_body.as_bytes(), patience).await, 408, 1007);
+    });
+}
+
+/// Runs a program's `--check` on settings; answers its exit code and what it said.
+fn check(program: &std::path::Path, yaml: &str) -> (Option<i32>, String) {
+    let name = format!("settings-{}-{:x}.yaml", std::process::id(), rand::random::<u64>());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, yaml).unwrap();
+    let out = std::process::Command::new(program)
+        .args(["--check", "--settings"])
+        .arg(&path)
+        .output()
+        .unwrap();
+    std::fs::remove_file(&path).unwrap();
+    (out.status.code(), String::from_utf8_lossy(&out.stderr).into_owned())
+}
+
+#[test]
+fn settings_that_cannot_be_used_are_refused_with_code_key_and_line() {
+    let entry = "name: e\ndomain: d\nlisten: 127.0.0.1:1\npeer_listen: 127.0.0.1:2\n";
+    let agent = "name: a\ndomain: d\nservice: s\nkind: model\nlisten: 127.0.0.1:1\n\
+                 engine: 127.0.0.1:2\nentries: ['127.0.0.1:3']\n";
+    let programs = programs();
+    assert_eq!(check(&programs.entry, entry).0, Some(0));
+    assert_eq!(check(&programs.agent, agent).0, Some(0));
+    let peers = "peers: [{name: e, address: '127.0.0.1:3'}]\n";
+    let cases = [
+        (&programs.entry, format!("{entry}colour: red\n"), "6002", "colour"),
+        (&programs.entry, entry.replace("127.0.0.1:1", "localhost:1"), "6003", "listen"),
+        (&programs.entry, format!("{entry}{peers}"), "6003", "peers.name"),
+        (&programs.entry, format!("{entry}limits: {{body_bytes: 0}}\n"), "6003", "body_bytes"),
+        (&programs.entry, format!("{entry}voter: true\n"), "6003", "voter"),
+        (&programs.entry, format!("{entry}admin: {{address: '0.0.0.0:9'}}\n"), "6003", "admin"),
+        (&programs.agent, format!("{agent}start_limit: 0\n"), "6003", "start_limit"),
+        (&programs.agent, agent.replace("model", "magic"), "6002", "kind"),
+    ];
+    for (program, yaml, code, key) in cases {
+        let (exit, said) = check(program, &yaml);
+        assert_eq!(exit, Some(2), "{yaml}\n{said}");
+        assert!(said.contains(code) && said.contains(key) && said.contains("line"), "{said}");
+    }
+}
