--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -19,6 +19,8 @@
     pub domains: usize,
     /// Entry instances; the first three vote.
     pub entries: usize,
+    /// Whether entries that do not vote have no disk.
+    pub diskless: bool,
     /// Endpoints with a model engine.
     pub assistants: usize,
     /// Endpoints with a plain service.
@@ -44,6 +46,7 @@
         Self {
             domains: 3,
             entries: 4,
+            diskless: false,
             assistants: 12,
             portals: 3,
             workspaces: 10,
@@ -115,6 +118,7 @@
 const AGENT_PORT: u16 = 8002;
 const ENGINE_PORT: u16 = 8003;
 const RELAY_PORT: u16 = 8004;
+const ADMIN_PORT: u16 = 8005;
 const PORTS_PER_FLEET: u16 = 8;
 const ENTRY_HOST: usize = 1;
 const AGENT_HOST: usize = 10;
@@ -212,16 +216,19 @@
         let e = &self.entries[i];
         let mut out = format!(
             "name: {}\ndomain: {}\nlisten: {}\npeer_listen: {}\nsource: {}\nvoter: {}\n\
-             data: {}\nthreads: {}\n",
+             threads: {}\n",
             e.name,
             e.domain,
             e.callers,
             e.peers,
             e.peers.ip(),
             e.voter,
-            self.folder.join(&e.name).display(),
             self.settings.threads,
         );
+        out.push_str(&format!("admin: {{address: '{}'}}\n", self.admin_of(i)));
+        if e.voter || !self.settings.diskless {
+            out.push_str(&format!("data: {}\n", self.folder.join(&e.name).display()));
+        }
         let others = self.entries.iter().filter(|p| p.name != e.name);
         if self.entries.len() > 1 {
             out.push_str("peers:\n");
@@ -235,6 +242,12 @@
         out
     }
 
+    /// Where an entry's admin address is.
+    pub fn admin_of(&self, i: usize) -> SocketAddr {
+        let peers = self.entries[i].peers;
+        SocketAddr::new(peers.ip(), peers.port() - PEER_PORT + ADMIN_PORT)
+    }
+
     /// The YAML of an agent: it announces itself to the entries of its domain and to one outside.
     pub fn agent_yaml(&self, i: usize) -> String {
         let a = &self.agents[i];
--- a/crates/net/src/coded_io.rs
+++ b/crates/net/src/coded_io.rs
@@ -27,8 +27,8 @@
 
 /// A stream that swaps the library's bare 4xx heads for ours.
 ///
-/// Every answer of the system carries [`RUN_HEADER`]; a 4xx head without it is the library's own
-/// word that it could not parse the request, so nothing has run.
+/// Every answer to a caller carries [`RUN_HEADER`]; a 4xx head without it and without a body is the
+/// library's own word that it could not parse the request, so nothing has run.
 pub(crate) struct CodedIo<T> {
     inner: T,
     pending: Vec<u8>,
@@ -44,7 +44,7 @@
 fn replacement(buf: &[u8]) -> Option<String> {
     let status = buf.strip_prefix(b"HTTP/1.1 4")?;
     let text = String::from_utf8_lossy(buf).to_ascii_lowercase();
-    if text.contains(RUN_HEADER) {
+    if text.contains(RUN_HEADER) || !text.contains("content-length: 0\r\n") {
         return None;
     }
     let too_large = status.starts_with(b"31") || status.starts_with(b"14");
--- a/crates/programs/src/lib.rs
+++ b/crates/programs/src/lib.rs
@@ -1,1 +1,6 @@
-//! Nothing but programs lives in this package.
+//! What the daemons' `main`s share; the programs themselves are in `src/bin`.
+
+mod daemon;
+
+pub use daemon::Common;
+pub use daemon::daemon;
--- a/crates/programs/tests/config.rs
+++ b/crates/programs/tests/config.rs
@@ -179,3 +179,22 @@
         }
     });
 }
+
+#[test]
+fn an_entry_without_a_disk_pulls_what_is_in_force_and_claims_through_the_others() {
+    run(|rt| async move {
+        let settings = FleetSettings { diskless: true, ..settings() };
+        let mut fleet = ready_fleet(&rt, settings).await;
+        assert!(!fleet.plan.entry_yaml(3).contains("data:"));
+        assert_eq!(fleet.decide(3, &ticket(2, "x"), LIMIT).await, Some(0));
+        assert!(fleet.wait_status(3, Duration::from_secs(6), |s| s.version == 2).await);
+        let booked = CallerRequest::booking(&workspace_key(0), "k", "room");
+        assert_eq!(fleet.caller(3).send(&booked).await.status, 200);
+        assert_eq!(fleet.caller(3).send(&booked).await.status, 200);
+        assert_eq!(fleet.stand.journal.runs("k"), 1);
+        let old = leader(&fleet).await;
+        fleet.kill_entry(old);
+        assert_eq!(fleet.decide(3, &ticket(3, "y"), LIMIT).await, Some(0));
+        assert!(fleet.wait_status(3, Duration::from_secs(6), |s| s.version == 3).await);
+    });
+}
--- a/crates/programs/tests/input.rs
+++ b/crates/programs/tests/input.rs
@@ -144,3 +144,37 @@
         assert!(said.contains(code) && said.contains(key) && said.contains("line"), "{said}");
     }
 }
+
+/// Asks an entry's admin address.
+async fn admin(fleet: &ProcessFleet, path: &str) -> String {
+    let mut stream = TcpStream::connect(fleet.plan.admin_of(0)).await.unwrap();
+    let ask = format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+    stream.write_all(ask.as_bytes()).await.unwrap();
+    let mut out = String::new();
+    stream.read_to_string(&mut out).await.unwrap();
+    out
+}
+
+#[test]
+fn health_readiness_and_counters_are_served() {
+    run(|rt| async move {
+        let settings = FleetSettings {
+            entries: 1,
+            domains: 1,
+            assistants: 1,
+            portals: 0,
+            ..Default::default()
+        };
+        let fleet = ready_fleet(&rt, settings).await;
+        let req = crocustally_standin::CallerRequest::chat(&workspace_key(0), "course", "quiz", 4);
+        assert!(fleet.caller(0).send(&req).await.is_whole_stream(0, 4));
+        assert!(admin(&fleet, "/healthz").await.starts_with("HTTP/1.1 200"));
+        let ready = timeout(PATIENCE, async {
+            while !admin(&fleet, "/readyz").await.starts_with("HTTP/1.1 200") {}
+        });
+        assert!(ready.await.is_some());
+        let metrics = admin(&fleet, "/metrics").await;
+        assert!(metrics.contains("crocustally_whole_total{service=\"assistant\"} 1"), "{metrics}");
+        assert!(admin(&fleet, "/elsewhere").await.starts_with("HTTP/1.1 404"));
+    });
+}
