--- a/crates/bench/src/route.rs
+++ b/crates/bench/src/route.rs
@@ -47,6 +47,8 @@
 const RATE: f64 = 70.0;
 const REPORT: Duration = Duration::from_millis(1000);
 const QUEUE: Duration = Duration::from_secs(5);
+/// Time in which all engines' limits grow from their start; both figures are printed.
+const WARM_UP: Duration = Duration::from_secs(20);
 const RUN: Duration = Duration::from_secs(120);
 
 /// An engine with the agent's admission before it.
@@ -83,7 +85,11 @@
     waiting: HashMap<WaiterKey, Request>,
     running: HashMap<u64, (EndpointKey, Instant, Request)>,
     sequence: u64,
+    /// First bytes of the whole run.
     times: Times,
+    /// First bytes after the warm-up.
+    warm: Times,
+    started: Instant,
     hits: u64,
     sent: u64,
     asked: u64,
@@ -121,6 +127,8 @@
         running: HashMap::new(),
         sequence: 0,
         times: Times::default(),
+        warm: Times::default(),
+        started: start,
         hits: 0,
         sent: 0,
         asked: 0,
@@ -141,6 +149,8 @@
         "seed": seed, "policy": name, "requests": sim.asked,
         "ttft_p50_ms": sim.times.ms(50.0), "ttft_p95_ms": sim.times.ms(95.0),
         "ttft_p99_ms": sim.times.ms(99.0),
+        "warm_ttft_p50_ms": sim.warm.ms(50.0), "warm_ttft_p95_ms": sim.warm.ms(95.0),
+        "warm_ttft_p99_ms": sim.warm.ms(99.0),
         "prefix_hit_ratio": sim.hits as f64 / sim.sent.max(1) as f64,
         "refused": sim.refused,
         "retries_ratio": sim.retries as f64 / sim.asked.max(1) as f64,
@@ -228,7 +238,11 @@
 
     fn first_byte(&mut self, n: u64) {
         let (key, sent, request) = &self.running[&n];
-        self.times.note(self.now.duration_since(request.arrived));
+        let first = self.now.duration_since(request.arrived);
+        self.times.note(first);
+        if request.arrived >= self.started + WARM_UP {
+            self.warm.note(first);
+        }
         let took = self.now.duration_since(*sent);
         self.engines[key.0 as usize].admission.first_byte(self.now, took);
         self.shard.began(self.now, *key);
