Losses have a module of their own; fields that nothing read are gone

Cause: reading as a newcomer: relay.rs held two jobs, a constant of one had a riddle for a name, and requests carried a prefix and a mark into places that never looked at them.

--- a/crates/bench/src/route.rs
+++ b/crates/bench/src/route.rs
@@ -198,7 +198,6 @@
             until: request.arrived + QUEUE,
             not: &request.not,
             retry,
-            suspect: false,
         };
         match self.shard.ask(self.now, &ask) {
             Answer::Send(key) => self.send(key, request),
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -28,8 +28,6 @@
 /// What a request asks of the choice.
 #[derive(Clone, Copy, Debug)]
 pub struct Wish<'a> {
-    /// Prefix of its prompt; 0 when it has none.
-    pub prefix: u64,
     /// Failure domain of the entry.
     pub domain: &'a str,
     /// Endpoints that have refused or failed it already.
--- a/crates/core/src/routing/queue.rs
+++ b/crates/core/src/routing/queue.rs
@@ -19,8 +19,6 @@
     pub until: Instant,
     /// Prefix of its prompt.
     pub prefix: u64,
-    /// Whether it must not share an endpoint with another suspect.
-    pub suspect: bool,
 }
 
 #[derive(Clone, Debug, Default)]
--- a/crates/core/src/routing/shard.rs
+++ b/crates/core/src/routing/shard.rs
@@ -38,8 +38,6 @@
     pub not: &'a [EndpointKey],
     /// Whether this is a retry, which the budget must pay for.
     pub retry: bool,
-    /// Whether it must not share an endpoint with another suspect.
-    pub suspect: bool,
 }
 
 /// What becomes of a wish.
@@ -221,7 +219,7 @@
 
     fn take(&mut self, now: Instant, prefix: u64, not: &[EndpointKey]) -> Option<EndpointKey> {
         let cached = self.prefixes.get(prefix);
-        let wish = Wish { prefix, domain: &self.domain, not, cached };
+        let wish = Wish { domain: &self.domain, not, cached };
         let key = choose(self.policy, &self.directory, now, &wish, &mut self.rng, &mut self.turn)?;
         let e = self.directory.get_mut(key)?;
         e.own += 1;
@@ -248,7 +246,7 @@
         }
         self.next_waiter += 1;
         let key = WaiterKey(self.next_waiter);
-        let w = Waiter { key, until: ask.until, prefix: ask.prefix, suspect: ask.suspect };
+        let w = Waiter { key, until: ask.until, prefix: ask.prefix };
         if !self.queue.push(ask.priority, ask.workspace, ask.share, w) {
             return Answer::Refuse(Code::ShareExceeded);
         }
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -55,7 +55,6 @@
         until,
         not: &[],
         retry: false,
-        suspect: false,
     }
 }
 
--- a/crates/core/tests/session.rs
+++ b/crates/core/tests/session.rs
@@ -126,7 +126,6 @@
             until: self.now + 500 * MS,
             not: &[],
             retry: false,
-            suspect: false,
         };
         match self.shard.ask(self.now, &ask) {
             Answer::Send(key) => {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod identify;
 mod log_driver;
 mod log_handle;
+mod loss;
 mod once;
 mod operate;
 mod peer_service;
--- a/crates/entry/src/log_handle.rs
+++ b/crates/entry/src/log_handle.rs
@@ -54,8 +54,6 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Longest time for one try at one leader.
 const TRY_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Number of initial voters of which each must be reachable and empty before a group is founded.
-const FOUNDING_FIRST: usize = 1;
 
 /// Another entry instance and the connection to it.
 struct Peer {
@@ -316,7 +314,8 @@
                 list.push(ReplicaId(reply.identity));
             }
             let first = cfg.voter && voters.first() == Some(&cfg.name);
-            let all_empty = empty_voters.len() + FOUNDING_FIRST == voters.len();
+            let others = voters.len().saturating_sub(1);
+            let all_empty = empty_voters.len() == others;
             let has_log = self.view().is_some_and(|v| v.has_log);
             if first && all_empty && !has_log {
                 self.found(empty_voters, learners);
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -177,7 +177,6 @@
                 until: self.id.queue_until,
                 not: &self.not,
                 retry: self.tries > 0,
-                suspect: false,
             };
             let code = match shard.place(&ask).await {
                 Ok(place) => return Ok(place),
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -8,20 +8,16 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use crocustally_core::Code;
-use crocustally_core::Digest;
 use crocustally_core::Ran;
 use crocustally_core::control::DEATHS_MAX;
 use crocustally_core::routing::Ask;
 use crocustally_core::routing::Ended;
 use crocustally_core::routing::EndpointKey;
 use crocustally_net::Busy;
-use crocustally_net::Channel;
 use crocustally_net::ResponseBody;
 use crocustally_net::sleep;
-use crocustally_wire::Death;
 use crocustally_wire::Head;
 use crocustally_wire::command::Kind;
-use crocustally_wire::outcome::Kind as OutcomeKind;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use hyper::Response;
@@ -33,7 +29,6 @@
 use crate::calls;
 use crate::calls::Call;
 use crate::calls::Piece;
-use crate::calls::Probe;
 use crate::front::WholeAnswer;
 use crate::front::account;
 use crate::front::refuse_after;
@@ -41,6 +36,8 @@
 use crate::front::whole_response;
 use crate::identify::Class;
 use crate::identify::Identified;
+use crate::loss::DEATH_TIMEOUT;
+use crate::loss::Loss;
 use crate::shard::Place;
 use crate::shard::Shard;
 
@@ -50,8 +47,6 @@
 const BACK_OFF_MAX_MS: u64 = 120;
 /// Shortest one.
 const BACK_OFF_MIN_MS: u64 = 20;
-/// Longest time to replicate a death; after that it is counted here only.
-const DEATH_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Sendings that may be given up because their answer does not begin. With the one that follows,
 /// these are as many endpoints as a crashing request may take down.
 const HEDGES_MAX: u32 = 1;
@@ -173,7 +168,6 @@
                 until,
                 not: &self.not,
                 retry: self.sends > 0,
-                suspect: self.suspect,
             };
             let refused = match self.shard.place(&ask).await {
                 Ok(place) => return Ok(place),
@@ -273,7 +267,7 @@
     /// sent a third time, both losses have been looked into.
     async fn note_loss(&mut self, loss: Loss) -> Result<(), Code> {
         self.suspect = true;
-        let looked = look_into(self.entry.clone(), self.id.digest, loss);
+        let looked = loss.look_into(self.entry.clone(), self.id.digest);
         if self.losses.is_empty() {
             // On its own, so that it is counted even when the caller leaves meanwhile.
             let (tx, rx) = async_channel::bounded(1);
@@ -309,7 +303,7 @@
             place.finish(ended, call.load);
             drop(call);
             if let Some(loss) = loss {
-                let _ = tx.try_send(look_into(entry, digest, loss).await);
+                let _ = tx.try_send(loss.look_into(entry, digest).await);
             }
         });
     }
@@ -442,51 +436,6 @@
     }
 }
 
-/// An endpoint lost with a request in flight.
-struct Loss {
-    endpoint: String,
-    domain: String,
-    /// Start number of its engine, or incarnation of its agent.
-    start: u64,
-    /// Where to ask whether it lives after all; none when it is known to be dead.
-    channel: Option<Channel>,
-}
-
-impl Loss {
-    /// The loss that a piece shows, if it shows one.
-    fn of(entry: &Entry, place: &Place, piece: &Piece) -> Option<Self> {
-        let (start, channel) = match piece {
-            Piece::Refused { engine_died: true, .. } => (place.engine_start, None),
-            Piece::Lost => (place.incarnation, entry.agent(&place.address)),
-            _ => return None,
-        };
-        let (endpoint, domain) = (place.name.clone(), place.domain.clone());
-        Some(Self { endpoint, domain, start, channel })
-    }
-}
-
-/// Counts a loss as a death, unless the agent still lives or its whole domain cannot be reached;
-/// answers the deaths counted so far.
-async fn look_into(entry: Arc<Entry>, digest: Digest, loss: Loss) -> u32 {
-    if let Some(channel) = loss.channel {
-        let innocent = match calls::probe(&channel, loss.start).await {
-            Probe::Alive => true,
-            Probe::Dead => false,
-            Probe::Silent => entry.seems_cut_off(&loss.domain),
-        };
-        if innocent {
-            return entry.deaths(digest);
-        }
-    }
-    let digests = vec![digest.to_bytes()];
-    let death = Death { endpoint: loss.endpoint, engine_start: loss.start, digests };
-    let outcome = entry.log.propose(Kind::Death(death), DEATH_TIMEOUT).await;
-    match outcome.ok().and_then(|o| o.kind) {
-        Some(OutcomeKind::Death(d)) => d.deaths.first().copied().unwrap_or(0),
-        _ => entry.count_death_locally(digest),
-    }
-}
-
 /// The event with its number, by which a caller can ask another entry for the rest.
 fn numbered(n: u64, event: &Bytes) -> Bytes {
     let mut out = BytesMut::with_capacity(event.len() + 16);
