An entry with an empty disk acts on nothing before it has everything

Cause: an entry that had lost its disk after 800 changes showed versions 254 and 510 on its way back to 801 (an_entry_that_lost_its_disk_..., seen failing): it replayed the log from the start and acted on each batch, so a domain that had been taken out could have been in again for a moment. Change: a replica that started without a log publishes its state only once it has all that a leader has told it is committed. Until then callers get 2013, not 401; an entry that has heard of no endpoint yet lets requests wait instead of refusing them.

--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -96,6 +96,7 @@
     LowPriorityShed = 2010, 503, No, "Low-priority work is refused while capacity is short.";
     EngineUnreachable = 2011, 503, No, "The agent could not open a connection to its engine.";
     EntryLeaving = 2012, 503, No, "The entry instance is stopping and takes no new requests.";
+    NotReady = 2013, 503, No, "The entry instance has no configuration yet.";
     KeyConflict = 3001, 422, No, "The idempotency key was used with another request.";
     OutcomeUnknown = 3002, 502, Unknown, "The request may have run; it will not be run again.";
     NoQuorum = 3003, 503, No, "The claim could not be replicated, so the request was not sent.";
--- a/crates/core/src/raft/peer.rs
+++ b/crates/core/src/raft/peer.rs
@@ -160,6 +160,7 @@
         round: u64,
         entries: Vec<Entry>,
     ) {
+        self.leader_commit = Some(commit);
         let known = self.log.snapshot().index;
         let matches = prev_index < known || self.log.term(prev_index) == Some(prev_term);
         if !matches {
--- a/crates/core/src/raft/replica.rs
+++ b/crates/core/src/raft/replica.rs
@@ -91,6 +91,8 @@
     election_at: Instant,
     pub(super) heartbeat_at: Instant,
     pub(super) barrier_index: u64,
+    /// Commit index that the current leader last gave.
+    pub(super) leader_commit: Option<u64>,
     rng: ChaCha8Rng,
     pub(super) out: Ready,
 }
@@ -125,6 +127,7 @@
             election_at: now,
             heartbeat_at: now,
             barrier_index: 0,
+            leader_commit: None,
             rng: ChaCha8Rng::seed_from_u64(seed ^ id.0),
             out: Ready::default(),
         };
@@ -271,6 +274,13 @@
         &self.members
     }
 
+    /// Whether it has everything that a leader has told it is committed. A replica with an empty
+    /// disk is behind until then, and what it has applied is older than what its instance acted on
+    /// before.
+    pub fn caught_up(&self) -> bool {
+        self.settled() || self.leader_commit.is_some_and(|c| c > 0 && self.commit >= c)
+    }
+
     /// Whether the newest members are committed, so that losing one more replica costs nothing.
     pub fn members_committed(&self) -> bool {
         self.members_index <= self.commit
--- a/crates/core/src/routing/directory.rs
+++ b/crates/core/src/routing/directory.rs
@@ -97,6 +97,11 @@
         keyed.filter_map(|(i, e)| Some((EndpointKey(i as u32), e.as_ref()?)))
     }
 
+    /// Whether no endpoint has ever announced itself, or all have been forgotten.
+    pub fn is_empty(&self) -> bool {
+        self.by_name.is_empty()
+    }
+
     /// Domains in which an endpoint has been found unreachable and not been heard of since.
     pub fn doubted_domains(&self) -> SmallVec<[&str; 4]> {
         let mut out = SmallVec::new();
--- a/crates/core/src/routing/shard.rs
+++ b/crates/core/src/routing/shard.rs
@@ -232,7 +232,8 @@
     }
 
     fn wait(&mut self, now: Instant, ask: &Ask<'_>) -> Answer {
-        if !self.any_usable(now) {
+        // An entry that has just started has heard nobody yet; that is no reason to refuse.
+        if !self.any_usable(now) && !self.directory.is_empty() {
             return Answer::Refuse(Code::NoEndpoint);
         }
         let ahead = self.queue.ahead_of(ask.priority) as f64;
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -84,6 +84,9 @@
         return Err(Code::HeaderTooLarge);
     }
     let config = entry.config();
+    if config.version == 0 {
+        return Err(Code::NotReady);
+    }
     let (service, workspace) = allowed(&config, parts.uri.path(), &parts.headers)?;
     if body.size_hint().lower() > limits.body_bytes as u64 {
         return Err(Code::BodyTooLarge);
--- a/crates/entry/src/log_driver.rs
+++ b/crates/entry/src/log_driver.rs
@@ -89,8 +89,8 @@
     /// Sends messages to another replica, without waiting.
     fn send(&self, to: ReplicaId, messages: Vec<Message>);
 
-    /// Takes the newest view.
-    fn publish(&self, view: LogView);
+    /// Takes the newest view; `in_force` says whether its state may be acted on.
+    fn publish(&self, view: LogView, in_force: bool);
 }
 
 /// One replica with its disk and its state machine.
@@ -107,6 +107,9 @@
     names: HashMap<ReplicaId, String>,
     heard: HashMap<ReplicaId, Instant>,
     led_since: Option<Instant>,
+    /// Whether the state here may be acted on: what a disk holds has been in force before, and a
+    /// replica that started without one must first be told everything that is committed.
+    in_force: bool,
     /// Role and leader when they were last published.
     noted: (Role, Option<ReplicaId>),
     stopped: bool,
@@ -130,7 +133,9 @@
         let machine =
             if state.is_empty() { Ok(Machine::default()) } else { Machine::restore(state) };
         let machine = Arc::new(machine.unwrap_or_default());
+        let in_force = replica.log().last_index() > 0;
         Self {
+            in_force,
             replica,
             machine,
             journal,
@@ -224,7 +229,8 @@
             self.stopped = true;
             return;
         }
-        if self.note_role() || changed {
+        let now_in_force = !self.in_force && self.replica.caught_up();
+        if self.note_role() || changed || now_in_force {
             self.publish();
         }
         for (reply, outcome) in outcomes {
@@ -287,8 +293,9 @@
         before != now
     }
 
-    fn publish(&self) {
-        self.outside.publish(LogView {
+    fn publish(&mut self) {
+        self.in_force |= self.replica.caught_up();
+        let view = LogView {
             machine: self.machine.clone(),
             role: self.replica.role(),
             term: self.replica.term(),
@@ -296,7 +303,8 @@
             commit: self.replica.commit(),
             members: self.replica.members().clone(),
             has_log: self.replica.log().last_index() > 0,
-        });
+        };
+        self.outside.publish(view, self.in_force);
     }
 
     fn compact(&mut self) {
--- a/crates/entry/src/log_handle.rs
+++ b/crates/entry/src/log_handle.rs
@@ -89,10 +89,12 @@
         }
     }
 
-    fn publish(&self, view: LogView) {
+    fn publish(&self, view: LogView, in_force: bool) {
         let machine = view.machine.clone();
         *self.shared.view.write().unwrap_or_else(PoisonError::into_inner) = Some(view);
-        let _ = self.shared.machines.force_send(machine);
+        if in_force {
+            let _ = self.shared.machines.force_send(machine);
+        }
     }
 }
 
--- a/crates/programs/tests/config.rs
+++ b/crates/programs/tests/config.rs
@@ -17,6 +17,7 @@
 
 const CONFLICT: u32 = 5001;
 const STALE: u32 = 5002;
+const NOT_READY: u32 = 2013;
 const LIMIT: Duration = Duration::from_secs(20);
 
 fn ticket(number: u64, domain: &str) -> String {
@@ -198,3 +199,31 @@
         assert!(fleet.wait_status(3, Duration::from_secs(6), |s| s.version == 3).await);
     });
 }
+
+#[test]
+fn an_entry_that_lost_its_disk_never_shows_an_older_version_on_its_way_back() {
+    run(|rt| async move {
+        let mut fleet = ready_fleet(&rt, settings()).await;
+        for n in 2..802 {
+            let code = fleet.decide(1, &ticket(n, &format!("d{}", n % 9)), LIMIT).await;
+            assert_eq!(code, Some(0), "ticket {n}");
+        }
+        assert!(fleet.wait_status(3, LIMIT, |s| s.version == 801).await);
+        fleet.lose_entry_disk(3);
+        fleet.start_entry(3).unwrap();
+        let chat = CallerRequest::chat(&workspace_key(0), "course", "quiz", 4);
+        let mut seen = Vec::new();
+        let begun = std::time::Instant::now();
+        while !seen.contains(&801) && begun.elapsed() < LIMIT {
+            let Some(s) = fleet.status(3).await else { continue };
+            seen.push(s.version);
+            if s.version == 0 {
+                let answer = fleet.caller(3).send(&chat).await;
+                let not_ready = (answer.code, answer.ran.as_str()) == (NOT_READY, "no");
+                assert!(answer.status != 401 && (not_ready || answer.status == 200), "{answer:?}");
+            }
+        }
+        seen.dedup();
+        assert_eq!(seen, [0, 801]);
+    });
+}
