--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -33,6 +33,9 @@
 use crate::peer_service::PeerService;
 use crate::shard::Shard;
 
+/// Suspects counted here alone before those with one death are forgotten.
+const LOCAL_DEATHS_KEPT: usize = 4096;
+
 /// What this entry last heard from another one.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PeerWord {
@@ -245,6 +248,9 @@
     /// Counts a death here, while no quorum can be reached.
     pub(crate) fn count_death_locally(&self, digest: Digest) -> u32 {
         let mut deaths = lock(&self.local_deaths);
+        if deaths.len() >= LOCAL_DEATHS_KEPT {
+            deaths.retain(|_, n| *n >= DEATHS_MAX);
+        }
         let n = deaths.entry(digest).or_default();
         *n += 1;
         *n
--- a/crates/entry/src/log_handle.rs
+++ b/crates/entry/src/log_handle.rs
@@ -1,7 +1,6 @@
 //! [`LogHandle`]: proposing to the replicated log, wherever its leader is.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -308,7 +307,7 @@
             let mut empty_voters = Vec::new();
             let mut learners = Vec::new();
             for p in &cfg.peers {
-                let Some(reply) = self.greet(&p.name, p.address).await else { continue };
+                let Some(reply) = self.greet(&p.name).await else { continue };
                 if reply.identity == 0 || reply.has_log {
                     continue;
                 }
@@ -333,10 +332,9 @@
         let _ = events.try_send(Event::Found(Members { voters, learners }));
     }
 
-    async fn greet(&self, name: &str, address: SocketAddr) -> Option<HelloReply> {
+    async fn greet(&self, name: &str) -> Option<HelloReply> {
         let identity = self.shared.id.map_or(0, |id| id.0);
         let peer = self.shared.peers.get(name)?;
-        debug_assert_eq!(peer.channel.address(), address);
         let mut client = EntryClient::with_origin(peer.channel.clone(), peer.channel.origin());
         let req = HelloRequest { name: self.shared.name.clone(), identity };
         let reply = timeout(BATCH_TIMEOUT, client.hello(req)).await?.ok()?.into_inner();
--- a/crates/net/src/channel.rs
+++ b/crates/net/src/channel.rs
@@ -88,11 +88,6 @@
         Self::from(&self.inner.rt, self.inner.address, self.inner.source)
     }
 
-    /// The address it calls.
-    pub fn address(&self) -> SocketAddr {
-        self.inner.address
-    }
-
     /// The origin that generated clients want.
     pub fn origin(&self) -> Uri {
         let text = format!("http://{}", self.inner.address);
