A death is named by the engine start that the agent gives

A death was named by the start number that the entry had last heard, which is late; when the request met the same endpoint again the second death looked like the first, and it went on to a third. Change: the agent names the start of the engine that ran the attempt. Ruled out by putting the stale number back: the new test then never ends (30 s, no answer).

--- a/crates/agent/src/engine_run.rs
+++ b/crates/agent/src/engine_run.rs
@@ -12,6 +12,7 @@
 use crocustally_core::Ran;
 use crocustally_core::agent::Attempt;
 use crocustally_core::control::ServiceKind;
+use crocustally_core::routing::Load;
 use crocustally_net::HttpError;
 use crocustally_net::timeout;
 use crocustally_wire::RunPiece;
@@ -90,7 +91,11 @@
                 pieces::whole(status, content_type.clone(), body.clone(), load)
             }
             Ended::NotRun(code) => pieces::refusal(code, Ran::No, false, load),
-            Ended::Broken(code) => pieces::refusal(code, Ran::Unknown, died, load),
+            Ended::Broken(code) => {
+                // A death is told apart from the next one by the start of the engine that died.
+                let load = Load { engine_start: self.engine_start, ..load };
+                pieces::refusal(code, Ran::Unknown, died, load)
+            }
             Ended::Cancelled => return,
         };
         self.settle(&ended, &last);
--- a/crates/agent/src/pieces.rs
+++ b/crates/agent/src/pieces.rs
@@ -35,7 +35,9 @@
 /// A refusal or a failure.
 pub(crate) fn refusal(code: Code, ran: Ran, engine_died: bool, load: Load) -> RunPiece {
     let code = u32::from(code.number());
-    piece(Kind::Refusal(Refusal { code, ran: ran.number(), engine_died }), Some(load))
+    let engine_start = load.engine_start;
+    let refusal = Refusal { code, ran: ran.number(), engine_died, engine_start };
+    piece(Kind::Refusal(refusal), Some(load))
 }
 
 fn piece(kind: Kind, load: Option<Load>) -> RunPiece {
--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -54,6 +54,8 @@
         ran: Ran,
         /// Whether the engine died of it, or with it.
         engine_died: bool,
+        /// Start number of the engine that ran it.
+        engine_start: u64,
     },
     /// The connection broke.
     Lost,
@@ -223,7 +225,12 @@
 
 fn refused(r: &Refusal) -> Piece {
     let code = Code::try_from(r.code).unwrap_or(Code::EngineFailed);
-    Piece::Refused { code, ran: Ran::from_number(r.ran), engine_died: r.engine_died }
+    Piece::Refused {
+        code,
+        ran: Ran::from_number(r.ran),
+        engine_died: r.engine_died,
+        engine_start: r.engine_start,
+    }
 }
 
 fn not_connected(status: &Status) -> bool {
--- a/crates/entry/src/loss.rs
+++ b/crates/entry/src/loss.rs
@@ -32,7 +32,9 @@
     /// The loss that a piece shows, if it shows one.
     pub(crate) fn of(entry: &Entry, place: &Place, piece: &Piece) -> Option<Self> {
         let (start, channel) = match piece {
-            Piece::Refused { engine_died: true, .. } => (place.engine_start, None),
+            // By the agent's word: what this entry has heard of the engine's start may be late, and
+            // two deaths must not look like one.
+            Piece::Refused { engine_died: true, engine_start, .. } => (*engine_start, None),
             Piece::Lost => (place.incarnation, entry.agent(&place.address)),
             _ => return None,
         };
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -155,11 +155,14 @@
         if self.sends <= HEDGES_MAX { place.patience } else { Duration::MAX }
     }
 
-    /// Finds a place; a spent retry budget only delays, as long as the request may wait.
+    /// Finds a place; a spent retry budget only delays, as long as the request may wait. One that
+    /// was sent before may wait as long again.
     async fn place(&mut self) -> Result<Place, Code> {
+        let wait = self.id.queue_until.saturating_duration_since(self.id.arrived);
+        let again = (self.entry.clock.now() + wait).min(self.id.deadline);
+        let until = if self.sends == 0 { self.id.queue_until } else { again };
         loop {
             let now = self.entry.clock.now();
-            let until = if self.sends == 0 { self.id.queue_until } else { self.id.deadline };
             let ask = Ask {
                 workspace: &self.id.workspace,
                 share: self.id.share,
@@ -175,8 +178,8 @@
             };
             let passing = match refused {
                 Code::RetryBudgetSpent => true,
-                // Everything that is left may have refused it once already.
-                Code::NoEndpoint | Code::Overloaded => !self.not.is_empty() || self.next > 0,
+                // What it was sent to may come back, and what is left may have refused it only once.
+                Code::NoEndpoint | Code::Overloaded => self.sends > 0,
                 _ => false,
             };
             if !passing || now >= until || self.sends >= SENDS_MAX {
--- a/crates/entry/src/shard.rs
+++ b/crates/entry/src/shard.rs
@@ -47,8 +47,6 @@
     pub(crate) address: String,
     /// Incarnation of its agent.
     pub(crate) incarnation: u64,
-    /// Start number of its engine, as far as it is known.
-    pub(crate) engine_start: u64,
     /// How long an answer may take to begin before it is worth asking elsewhere.
     pub(crate) patience: Duration,
     begun: Instant,
@@ -167,7 +165,6 @@
             domain: e.said.domain.clone(),
             address: e.said.address.clone(),
             incarnation: e.said.incarnation,
-            engine_start: e.said.load.engine_start,
             patience: e.patience(),
             begun: self.clock.now(),
             answering: false,
--- a/crates/programs/tests/whole.rs
+++ b/crates/programs/tests/whole.rs
@@ -174,6 +174,16 @@
     });
 }
 
+#[test]
+fn a_crashing_request_that_meets_one_endpoint_again_and_again_kills_it_twice_at_most() {
+    run(|rt| async move {
+        let fleet = ready_fleet(&rt, slow_engines(1)).await;
+        let answer = fleet.caller(0).send(&chat(CRASH_WORD)).await;
+        assert_eq!(answer.code, QUARANTINED, "{answer:?}");
+        assert!(fleet.stand.engines[0].deaths() <= 2, "{}", fleet.stand.engines[0].deaths());
+    });
+}
+
 #[test]
 fn a_cold_endpoint_never_gets_more_than_it_bears_from_four_entries_at_once() {
     run(|rt| async move {
