--- a/crates/core/src/experts/coordinator.rs
+++ b/crates/core/src/experts/coordinator.rs
@@ -36,7 +36,8 @@
     },
 }
 
-/// Orders to send, also while nothing is under way, so that a restarted gate is noticed; each may be lost and is sent again by [`Coordinator::tick`].
+/// Orders to send, also while nothing is under way, so that a restarted gate is noticed; each may be
+/// lost and is sent again by [`Coordinator::tick`].
 pub type Orders = Vec<(RankId, Stamp, Order)>;
 
 /// Drives one group's switches under one fencing number.
