Thin path on the platform: gateways, control instances and the adapter

Cause: the platform needs direct endpoints, a policy document in the replicated log and discovery by heartbeats, none of which the product had. Change: crates log (moved out of entry), control and gateway; core modules traffic, fleet and dispatch; platform/ decodes the wire once. Ruled out: serving through agents (one more process that dies, 20 Mbit/s links, none at the plain service).

--- a/crates/agent/src/engine_run.rs
+++ b/crates/agent/src/engine_run.rs
@@ -107,7 +107,7 @@
         let begun = self.agent.clock.now();
         let (response, tx) = match self.agent.client.send(req, self.claimed.is_some()).await {
             Ok(answered) => answered,
-            Err(HttpError::NotSent) => {
+            Err(HttpError::NotSent | HttpError::Unreachable) => {
                 // Whether it is down, or only had no room for one more connection, its health says.
                 health::look(&self.agent).await;
                 return Ended::NotRun(Code::EngineUnreachable);
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -1,13 +1,16 @@
 //! [`Machine`]: the replicated state machine that the log's commands drive.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use crocustally_wire::ClaimOutcome;
 use crocustally_wire::Command;
 use crocustally_wire::DeathOutcome;
+use crocustally_wire::Evacuation;
 use crocustally_wire::MachineState;
 use crocustally_wire::Outcome;
+use crocustally_wire::PolicyDocument;
 use crocustally_wire::Ticket as TicketRecord;
 use crocustally_wire::TicketOutcome;
 use crocustally_wire::command::Kind;
@@ -29,6 +32,10 @@
     config: Arc<Config>,
     claims: Claims,
     suspects: Suspects,
+    policy: PolicyDocument,
+    evacuated: BTreeSet<String>,
+    /// Index of the last command that was applied here.
+    applied: u64,
 }
 
 /// A snapshot whose bytes are not a machine's state.
@@ -38,6 +45,7 @@
 impl Machine {
     /// Applies the command at `index` of the log.
     pub fn apply(&mut self, index: u64, command: &[u8]) -> Outcome {
+        self.applied = index;
         let kind = Command::decode(command).ok().and_then(|c| c.kind);
         let kind = match kind {
             Some(Kind::Ticket(t)) => OutcomeKind::Ticket(self.ticket(&t)),
@@ -51,6 +59,18 @@
                 OutcomeKind::Done(true)
             }
             Some(Kind::Lookup(l)) => OutcomeKind::Claim(self.claims.lookup(&l.key, &l.digest)),
+            Some(Kind::Policy(p)) => {
+                // The highest version wins, so a document that comes again or too late changes nothing.
+                if p.version > self.policy.version {
+                    self.policy = p;
+                }
+                OutcomeKind::Done(true)
+            }
+            Some(Kind::Evacuation(e)) => {
+                self.evacuate(e);
+                OutcomeKind::Done(true)
+            }
+            Some(Kind::ReadPolicy(_)) => OutcomeKind::Policy(self.policy.clone()),
             None => OutcomeKind::Done(false),
         };
         Outcome { kind: Some(kind) }
@@ -71,13 +91,44 @@
         &self.claims
     }
 
+    /// The policy document with the highest version so far; version 0 when there is none.
+    pub fn policy(&self) -> &PolicyDocument {
+        &self.policy
+    }
+
+    /// Failure domains that get no new work.
+    pub fn evacuated(&self) -> &BTreeSet<String> {
+        &self.evacuated
+    }
+
+    /// Index of the last command that was applied here.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    fn evacuate(&mut self, e: Evacuation) {
+        if e.active {
+            self.evacuated.insert(e.domain);
+        } else {
+            self.evacuated.remove(&e.domain);
+        }
+    }
+
     /// Everything, as the bytes of a snapshot.
     pub fn state(&self) -> Bytes {
         let (claims, expired, claim_floor_ms) = self.claims.export();
         let config = serde_json::to_vec(&*self.config).unwrap_or_default();
         let suspects = self.suspects.export();
-        let state =
-            MachineState { config: config.into(), claims, suspects, claim_floor_ms, expired };
+        let state = MachineState {
+            config: config.into(),
+            claims,
+            suspects,
+            claim_floor_ms,
+            expired,
+            policy: Some(self.policy.clone()),
+            evacuated: self.evacuated.iter().cloned().collect(),
+            applied: self.applied,
+        };
         state.encode_to_vec().into()
     }
 
@@ -89,6 +140,9 @@
             config: Arc::new(config),
             claims: Claims::import(state.claims, &state.expired, state.claim_floor_ms),
             suspects: Suspects::import(state.suspects),
+            policy: state.policy.unwrap_or_default(),
+            evacuated: state.evacuated.into_iter().collect(),
+            applied: state.applied,
         })
     }
 
--- /dev/null
+++ b/crates/core/src/traffic/error.rs
@@ -0,0 +1,64 @@
+//! [`PolicyError`]: why a policy cannot be used.
+
+use std::fmt;
+
+/// What is wrong with a policy document.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PolicyError {
+    /// It cannot be read in full.
+    Malformed(String),
+    /// A route names a service that the policy does not have.
+    UnknownService {
+        /// Name of the route.
+        route: String,
+        /// Name of the service.
+        service: String,
+    },
+    /// Two routes have the same host and prefix.
+    SamePlace {
+        /// Name of the second route.
+        route: String,
+    },
+    /// A route's weights add up to nothing.
+    NoWeight {
+        /// Name of the route.
+        route: String,
+    },
+    /// A route's timeout is zero.
+    NoTimeout {
+        /// Name of the route.
+        route: String,
+    },
+    /// A route's prefix does not begin and end with a slash.
+    BadPrefix {
+        /// Name of the route.
+        route: String,
+    },
+    /// Two workspaces have the same key.
+    SharedKey {
+        /// Name of the second workspace.
+        workspace: String,
+    },
+}
+
+impl fmt::Display for PolicyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Malformed(detail) => write!(f, "malformed: {detail}"),
+            Self::UnknownService { route, service } => {
+                write!(f, "route {route:?} names service {service:?}, which does not exist")
+            }
+            Self::SamePlace { route } => {
+                write!(f, "route {route:?} has the host and prefix of another route")
+            }
+            Self::NoWeight { route } => write!(f, "the weights of route {route:?} add up to 0"),
+            Self::NoTimeout { route } => write!(f, "route {route:?} has a timeout of 0"),
+            Self::BadPrefix { route } => {
+                write!(f, "the prefix of route {route:?} does not begin and end with a slash")
+            }
+            Self::SharedKey { workspace } => {
+                write!(f, "a key of workspace {workspace:?} belongs to another one as well")
+            }
+        }
+    }
+}
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -17,19 +17,22 @@
 use crocustally_core::control::Suspects;
 use crocustally_core::routing::Endpoint;
 use crocustally_core::routing::ServiceShard;
+use crocustally_log::LogHandle;
+use crocustally_log::ReplicaService;
 use crocustally_net::Channel;
 use crocustally_net::Clock;
 use crocustally_net::Runtime;
 use crocustally_net::Shutdown;
+use crocustally_net::Either;
 use crocustally_net::serve_grpc;
 use crocustally_net::serve_http;
 use crocustally_wire::entry_server::EntryServer;
+use crocustally_wire::replica_server::ReplicaServer;
 
 use crate::EntrySettings;
 use crate::burn::BurnBook;
 use crate::front;
 use crate::gossip;
-use crate::log_handle::LogHandle;
 use crate::peer_service::PeerService;
 use crate::shard::Shard;
 
@@ -85,7 +88,7 @@
         clock: Arc<dyn Clock>,
         shutdown: Shutdown,
     ) -> std::io::Result<(Arc<Self>, EntryAddresses)> {
-        let (log, views) = LogHandle::start(rt, &cfg, clock.clone())?;
+        let (log, views) = LogHandle::start(rt, cfg.log_settings(), clock.clone())?;
         let entry = Arc::new(Self {
             rt: rt.clone(),
             clock,
@@ -113,7 +116,9 @@
         });
         // Peers must be able to ask while a stopping entry lets its last requests end, so this
         // listener outlives the callers' one.
-        let server = EntryServer::new(PeerService::new(entry.clone()));
+        let replica = ReplicaServer::new(ReplicaService::new(entry.log.clone()));
+        let calls = EntryServer::new(PeerService::new(entry.clone()));
+        let server = Either::new(replica, calls);
         let peers = serve_grpc(rt, entry.cfg.peer_listen, server, &shutdown).await?;
         let shared = entry.clone();
         let handler = move |req| front::answer(shared.clone(), req);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,8 +14,6 @@
 mod front;
 mod gossip;
 mod identify;
-mod log_driver;
-mod log_handle;
 mod loss;
 mod once;
 mod operate;
@@ -24,15 +22,16 @@
 mod settings;
 mod shard;
 
+pub use crocustally_log::LogView;
+pub use crocustally_log::PeerSettings;
+
 pub use burn::BurnReport;
 pub use burn::BurnRow;
 pub use entry::Entry;
 pub use entry::EntryAddresses;
-pub use log_driver::LogView;
 pub use operate::InstanceStatus;
 pub use operate::StatusReport;
 pub use settings::EntrySettings;
-pub use settings::PeerSettings;
 pub use settings::RawEntrySettings;
 pub use settings::RawLimits;
 pub use settings::RawPeer;
--- a/crates/entry/src/peer_service.rs
+++ b/crates/entry/src/peer_service.rs
@@ -4,8 +4,6 @@
 use std::time::Duration;
 
 use crocustally_core::Code;
-use crocustally_core::raft::Message;
-use crocustally_core::raft::ReplicaId;
 use crocustally_core::routing::Announcement;
 use crocustally_core::routing::Merged;
 use crocustally_wire::AnnounceReply;
@@ -14,14 +12,8 @@
 use crocustally_wire::ApplyRequest;
 use crocustally_wire::GossipReply;
 use crocustally_wire::GossipRequest;
-use crocustally_wire::HelloReply;
-use crocustally_wire::HelloRequest;
-use crocustally_wire::ProposeReply;
-use crocustally_wire::ProposeRequest;
 use crocustally_wire::PullReply;
 use crocustally_wire::PullRequest;
-use crocustally_wire::RaftAck;
-use crocustally_wire::RaftBatch;
 use crocustally_wire::ReportReply;
 use crocustally_wire::ReportRequest;
 use crocustally_wire::StatusReply;
@@ -79,32 +71,6 @@
         Ok(Response::new(GossipReply { config_version: self.entry.config().version }))
     }
 
-    async fn raft(&self, req: Request<RaftBatch>) -> Result<Response<RaftAck>, Status> {
-        let batch = req.into_inner();
-        let messages: Result<Vec<Message>, _> =
-            batch.messages.into_iter().map(Message::try_from).collect();
-        let messages = messages.map_err(|_| Status::invalid_argument("malformed message"))?;
-        let (from, to) = (ReplicaId(batch.from), ReplicaId(batch.to));
-        self.entry.log.receive(from, to, batch.from_name, messages);
-        Ok(Response::new(RaftAck {}))
-    }
-
-    async fn hello(&self, req: Request<HelloRequest>) -> Result<Response<HelloReply>, Status> {
-        Ok(Response::new(self.entry.log.hello(req.into_inner())))
-    }
-
-    async fn propose(
-        &self,
-        req: Request<ProposeRequest>,
-    ) -> Result<Response<ProposeReply>, Status> {
-        let req = req.into_inner();
-        let limit = Duration::from_millis(u64::from(req.timeout_ms));
-        let outcome = self.entry.log.propose_here(req.command, limit).await;
-        let code = if outcome.is_some() { Code::Ok } else { Code::NoQuorum };
-        let leader = self.entry.log.leader().unwrap_or_default();
-        Ok(Response::new(ProposeReply { code: u32::from(code.number()), outcome, leader }))
-    }
-
     async fn apply(&self, req: Request<ApplyRequest>) -> Result<Response<ApplyReply>, Status> {
         let req = req.into_inner();
         if !req.local_out.is_empty() {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -6,6 +6,8 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use crocustally_log::LogSettings;
+use crocustally_log::PeerSettings;
 use crocustally_net::AdminSettings;
 use crocustally_net::HttpLimits;
 use crocustally_net::LogFormat;
@@ -94,17 +96,6 @@
     4
 }
 
-/// Another entry instance.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PeerSettings {
-    /// Name of the entry instance.
-    pub name: String,
-    /// Where it listens for other processes.
-    pub address: SocketAddr,
-    /// Whether it founds the replicated log as a voter.
-    pub voter: bool,
-}
-
 /// Settings that can be used.
 #[derive(Clone, Debug)]
 pub struct EntrySettings {
@@ -135,6 +126,21 @@
 }
 
 impl EntrySettings {
+    /// What the replica of this instance is told.
+    pub fn log_settings(&self) -> LogSettings {
+        let names = self.peers.iter().map(|p| p.name.clone());
+        LogSettings {
+            name: self.name.clone(),
+            address: self.peer_listen,
+            source: self.source,
+            data: self.data.clone(),
+            peers: self.peers.clone(),
+            founder: self.voter,
+            voters: self.voter_names().len(),
+            may_vote: names.chain([self.name.clone()]).collect(),
+        }
+    }
+
     /// Names of all instances that found the log as voters, this one included.
     pub fn voter_names(&self) -> BTreeSet<String> {
         let peers = self.peers.iter().filter(|p| p.voter).map(|p| p.name.clone());
@@ -212,6 +218,7 @@
             body_bytes: l.body_bytes,
             header_time: Duration::from_millis(l.header_ms),
             body_time: Duration::from_millis(l.body_ms),
+            ..HttpLimits::default()
         }),
     }
 }
--- /dev/null
+++ b/crates/gateway/src/whole.rs
@@ -0,0 +1,81 @@
+//! Answers of one piece.
+
+use crocustally_core::Code;
+use crocustally_core::dispatch::Ended;
+use crocustally_core::dispatch::Refusal;
+use crocustally_net::ResponseBody;
+use crocustally_net::full_body;
+use crocustally_net::timeout;
+use hyper::Response;
+
+use crate::exchange::Exchange;
+use crate::upstream;
+use crate::upstream::Answer;
+use crate::upstream::Sent;
+
+/// Time that a refused caller is told to stay away after endpoints have refused its request.
+const RETRY_AFTER_REFUSALS: std::time::Duration = std::time::Duration::from_millis(400);
+
+/// Gets the answer from one endpoint after another, as often as the route allows.
+pub(crate) async fn serve(mut ex: Exchange) -> Response<ResponseBody> {
+    let mut sent_before = false;
+    let refused = Refusal { code: Code::EndpointFull, retry_after: RETRY_AFTER_REFUSALS };
+    loop {
+        let place = match ex.place(sent_before).await {
+            Ok(place) => place,
+            Err(refusal) => return ex.give_up(refusal),
+        };
+        sent_before = true;
+        let left = ex.left();
+        match upstream::send(&ex, &place, left, None).await {
+            Sent::NotRun(ended) => {
+                ex.finish(place, ended);
+                if !ex.may_send() || ex.left().is_zero() {
+                    return ex.give_up(refused);
+                }
+            }
+            Sent::Lost(ended) => {
+                ex.runs += 1;
+                ex.finish(place, ended);
+                if !ex.may_run_again() || !ex.may_send() {
+                    return ex.fail();
+                }
+            }
+            Sent::Answer(mut answer) => {
+                ex.runs += 1;
+                let mut place = place;
+                place.began();
+                let left = ex.left();
+                let body = timeout(left, upstream::read_whole(&mut answer.body)).await.flatten();
+                let Some(body) = body else {
+                    ex.finish(place, Ended::Broken);
+                    if ex.may_run_again() && ex.may_send() {
+                        continue;
+                    }
+                    return ex.fail();
+                };
+                let failed = answer.head.status.is_server_error();
+                ex.finish(place, if failed { Ended::Failed } else { Ended::Whole });
+                let again = failed && ex.may_run_again() && ex.may_send();
+                let now = ex.now();
+                if again && ex.places.with(|pool| pool.may_repeat(now)) {
+                    answer.keep();
+                    continue;
+                }
+                return relay(&mut ex, *answer, body);
+            }
+        }
+    }
+}
+
+/// The endpoint's own answer, unchanged.
+fn relay(ex: &mut Exchange, answer: Answer, body: bytes::Bytes) -> Response<ResponseBody> {
+    let mut response = Response::new(full_body(body));
+    *response.status_mut() = answer.head.status;
+    *response.headers_mut() = ex.gateway.dialect.relay(&answer.head);
+    ex.trace.status = answer.head.status.as_u16();
+    ex.trace.first = Some(ex.now().saturating_duration_since(ex.arrived));
+    ex.trace.complete = true;
+    answer.keep();
+    response
+}
--- a/crates/entry/src/log_driver.rs
+++ b/crates/log/src/driver.rs
@@ -102,6 +102,7 @@
     rx: Receiver<Event>,
     outside: O,
     voters: usize,
+    /// Names that may vote; empty when any may.
     may_vote: Vec<String>,
     waiting: BTreeMap<u64, (u64, Sender<Outcome>)>,
     names: HashMap<ReplicaId, String>,
@@ -113,6 +114,7 @@
     /// Role and leader when they were last published.
     noted: (Role, Option<ReplicaId>),
     stopped: bool,
+    disk_failed: bool,
 }
 
 impl<O: Outside> LogDriver<O> {
@@ -150,18 +152,20 @@
             led_since: None,
             noted: (Role::Follower, None),
             stopped: false,
+            disk_failed: false,
         }
     }
 
-    /// Runs until it is told to stop; a disk that fails ends the process's part in the log.
-    pub(crate) fn run(mut self) {
+    /// Runs until it is told to stop or the disk fails; a failed disk gets the event queue back, so
+    /// that the log can be opened again.
+    pub(crate) fn run(mut self) -> Option<Receiver<Event>> {
         self.advance();
         while !self.stopped {
             let first = async_io::block_on(crocustally_net::timeout(TICK, self.rx.recv()));
             let now = self.clock.now();
             match first {
                 Some(Ok(event)) => self.take(now, event),
-                Some(Err(_)) => return,
+                Some(Err(_)) => return None,
                 None => {}
             }
             for _ in 0..EVENTS_PER_SYNC {
@@ -172,6 +176,16 @@
             self.repair(now);
             self.advance();
         }
+        self.withdraw();
+        self.disk_failed.then_some(self.rx)
+    }
+
+    /// Leaves nobody with a view of a replica that no longer runs.
+    fn withdraw(&mut self) {
+        self.replica.resign(self.clock.now());
+        self.waiting.clear();
+        self.noted = (Role::Follower, None);
+        self.publish();
     }
 
     fn take(&mut self, now: Instant, event: Event) {
@@ -214,8 +228,7 @@
         let ready = self.replica.ready();
         let changed = ready.snapshot.is_some() || !ready.committed.is_empty();
         if let Err(e) = self.store(&ready) {
-            log::error!("{} {}: {}", e.code.number(), e.code.text(), e.file.display());
-            self.stopped = true;
+            self.disk_failure(&e);
             return;
         }
         self.send(ready.messages);
@@ -224,9 +237,9 @@
         let outcomes = self.apply(ready.committed);
         if self.machine.config().version != version
             && let Some(index) = last
-            && self.journal.append(vec![Record::Commit(index)]).is_err()
+            && let Err(e) = self.journal.append(vec![Record::Commit(index)])
         {
-            self.stopped = true;
+            self.disk_failure(&e);
             return;
         }
         let now_in_force = !self.in_force && self.replica.caught_up();
@@ -239,6 +252,13 @@
         self.compact();
     }
 
+    fn disk_failure(&mut self, e: &crocustally_net::JournalError) {
+        let file = e.file.display().to_string();
+        log::error!(code = e.code.number(), file = file.as_str(); "{}", e.code.text());
+        self.stopped = true;
+        self.disk_failed = true;
+    }
+
     fn store(&mut self, ready: &Ready) -> Result<(), crocustally_net::JournalError> {
         if let Some(s) = &ready.snapshot {
             if let Ok(machine) = Machine::restore(&s.state) {
@@ -315,8 +335,7 @@
         self.replica.compact(self.machine.state());
         let (hard, commit) = (self.replica.hard_state(), self.replica.commit());
         if let Err(e) = self.journal.replace(hard, commit, self.replica.log()) {
-            log::error!("{} {}: {}", e.code.number(), e.code.text(), e.file.display());
-            self.stopped = true;
+            self.disk_failure(&e);
         }
     }
 
@@ -351,7 +370,7 @@
             let silent =
                 if id == own { Duration::ZERO } else { now.saturating_duration_since(heard) };
             let behind = self.replica.progress(id).map_or(0, |(m, _)| last.saturating_sub(m));
-            let may_vote = self.may_vote.contains(&name);
+            let may_vote = self.may_vote.is_empty() || self.may_vote.contains(&name);
             known.insert(id, Candidate { name, may_vote, silent, behind });
         }
         known
--- a/crates/net/src/admin.rs
+++ b/crates/net/src/admin.rs
@@ -33,6 +33,9 @@
     /// File that holds the bearer token; without one only loopback addresses are taken.
     #[serde(default)]
     pub token_file: Option<PathBuf>,
+    /// Serves on any address without a token, for a network that only operators reach.
+    #[serde(default)]
+    pub open: bool,
 }
 
 impl AdminSettings {
@@ -40,8 +43,8 @@
     pub fn check(&self) -> Result<(SocketAddr, Option<String>), SettingsError> {
         let address = parse_address("admin.address", &self.address)?;
         let Some(path) = &self.token_file else {
-            if !address.ip().is_loopback() {
-                let detail = "needs token_file unless it is a loopback address";
+            if !address.ip().is_loopback() && !self.open {
+                let detail = "needs token_file or open unless it is a loopback address";
                 return Err(SettingsError::invalid("admin.address", detail));
             }
             return Ok((address, None));
--- a/crates/net/src/coded_io.rs
+++ b/crates/net/src/coded_io.rs
@@ -31,12 +31,14 @@
 /// library's own word that it could not parse the request, so nothing has run.
 pub(crate) struct CodedIo<T> {
     inner: T,
+    coded: bool,
     pending: Vec<u8>,
 }
 
 impl<T> CodedIo<T> {
-    pub(crate) fn new(inner: T) -> Self {
-        Self { inner, pending: Vec::new() }
+    /// With `coded` off everything passes as it is.
+    pub(crate) fn new(inner: T, coded: bool) -> Self {
+        Self { inner, coded, pending: Vec::new() }
     }
 }
 
@@ -80,7 +82,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        if let Some(ours) = replacement(buf) {
+        if self.coded && let Some(ours) = replacement(buf) {
             self.pending.extend_from_slice(ours.as_bytes());
             return Poll::Ready(Ok(buf.len()));
         }
--- a/crates/net/src/connect.rs
+++ b/crates/net/src/connect.rs
@@ -4,6 +4,7 @@
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::net::TcpStream as StdStream;
+use std::time::Duration;
 
 use async_io::Async;
 use async_net::TcpStream;
@@ -14,6 +15,7 @@
 use rustix::net::bind;
 use rustix::net::connect;
 use rustix::net::socket_with;
+use rustix::net::sockopt;
 use rustix::net::sockopt::socket_error;
 
 /// Connects to `address`, from `source` where one is given.
@@ -35,3 +37,21 @@
     socket_error(stream.get_ref())??;
     Ok(stream.into())
 }
+
+/// Gives up a connection whose other end has acknowledged nothing for `time`, idle or not.
+///
+/// Something between the two ends may lose track of a connection without a word to either. A socket
+/// that refuses the options still works, only later to notice.
+pub(crate) fn set_silence(stream: &TcpStream, time: Duration) {
+    let probe = (time / 3).max(Duration::from_secs(1));
+    let set = || -> rustix::io::Result<()> {
+        sockopt::set_socket_keepalive(stream, true)?;
+        sockopt::set_tcp_keepidle(stream, probe)?;
+        sockopt::set_tcp_keepintvl(stream, probe)?;
+        sockopt::set_tcp_keepcnt(stream, 2)?;
+        sockopt::set_tcp_user_timeout(stream, time.as_millis() as u32)
+    };
+    if let Err(e) = set() {
+        log::debug!("socket options refused: {e}");
+    }
+}
--- a/crates/net/src/http_server.rs
+++ b/crates/net/src/http_server.rs
@@ -27,10 +27,14 @@
 use crate::coded_io::CodedIo;
 use crate::coded_io::RUN_HEADER;
 use crate::coded_io::raw_refusal;
+use crate::connect::set_silence;
 
 /// An answer's body.
 pub type ResponseBody = UnsyncBoxBody<Bytes, std::io::Error>;
 
+/// A caller that acknowledges nothing for this long is gone.
+const CALLER_SILENCE: Duration = Duration::from_secs(10);
+
 /// What a caller may send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HttpLimits {
@@ -42,6 +46,10 @@
     pub header_time: Duration,
     /// Longest time to send the body.
     pub body_time: Duration,
+    /// Whether the library's own refusals get a numbered code.
+    pub coded: bool,
+    /// Time after a planned stop is asked for in which connections and requests are still taken.
+    pub linger: Duration,
 }
 
 impl Default for HttpLimits {
@@ -51,6 +59,8 @@
             body_bytes: 4 * 1024 * 1024,
             header_time: Duration::from_secs(5),
             body_time: Duration::from_secs(10),
+            coded: true,
+            linger: Duration::ZERO,
         }
     }
 }
@@ -100,6 +110,7 @@
         loop {
             let stopped = async {
                 shutdown.wait().await;
+                crate::sleep(limits.linger).await;
                 None
             };
             let accepted = async { Some(listener.accept().await) };
@@ -122,6 +133,7 @@
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
+    set_silence(&stream, CALLER_SILENCE);
     let mut raw = stream.clone();
     let _open = shutdown.connection();
     let call = service_fn(move |req: Request<Incoming>| {
@@ -134,10 +146,11 @@
         .header_read_timeout(limits.header_time)
         .max_buf_size(limits.header_bytes.max(8 * 1024))
         .half_close(false);
-    let io = CodedIo::new(FuturesIo::new(stream));
+    let io = CodedIo::new(FuturesIo::new(stream), limits.coded);
     let mut served = std::pin::pin!(builder.serve_connection(io, call));
     let stopped = async {
         shutdown.wait().await;
+        crate::sleep(limits.linger).await;
         None
     };
     let first = async { Some(served.as_mut().await) }.or(stopped).await;
@@ -148,7 +161,7 @@
             served.as_mut().await
         }
     };
-    if ended.is_err_and(|e| e.is_timeout()) {
+    if limits.coded && ended.is_err_and(|e| e.is_timeout()) {
         let _ = raw.write_all(raw_refusal(Code::CallerTooSlow).as_bytes()).await;
         let _ = raw.close().await;
     }
--- a/crates/net/src/shutdown.rs
+++ b/crates/net/src/shutdown.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use async_channel::Receiver;
 use async_signal::Signal;
 use async_signal::Signals;
 use futures_lite::StreamExt;
@@ -65,6 +66,19 @@
         });
     }
 
+    /// One message for each SIGHUP from now on, which therefore no longer ends the process.
+    pub fn reloads(rt: &Runtime) -> std::io::Result<Receiver<()>> {
+        let (tx, rx) = async_channel::bounded(1);
+        let mut signals = Signals::new([Signal::Hup])?;
+        rt.spawn(async move {
+            while signals.next().await.is_some() {
+                // A reload that is still waiting covers this one as well.
+                let _ = tx.try_send(());
+            }
+        });
+        Ok(rx)
+    }
+
     /// Asks for the stop.
     pub fn ask(&self) {
         self.inner.asked.store(true, Ordering::Release);
--- a/crates/programs/src/bin/crocustally-agent.rs
+++ b/crates/programs/src/bin/crocustally-agent.rs
@@ -8,6 +8,7 @@
 use crocustally_agent::RawAgentSettings;
 use crocustally_net::SystemClock;
 use crocustally_programs::Common;
+use crocustally_programs::Process;
 use crocustally_programs::daemon;
 
 fn common(cfg: &AgentSettings) -> Common {
@@ -19,7 +20,8 @@
         "crocustally-agent",
         "The process beside each endpoint",
         common,
-        |rt, cfg, shutdown, state| async move {
+        |process, cfg| async move {
+            let Process { rt, shutdown, state, .. } = process;
             let name = cfg.name.clone();
             let (_, bound) = Agent::start(&rt, cfg, Arc::new(SystemClock), shutdown).await?;
             log::info!("{name}: serving entries on {bound}");
--- /dev/null
+++ b/crates/programs/src/bin/crocustally-control.rs
@@ -0,0 +1,46 @@
+//! `crocustally-control`: a thin shell around [`crocustally_control::Control`].
+
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crocustally_control::Control;
+use crocustally_control::ControlSettings;
+use crocustally_control::RawControlSettings;
+use crocustally_net::SystemClock;
+use crocustally_net::timeout;
+use crocustally_platform::ControlAdapter;
+use crocustally_programs::Common;
+use crocustally_programs::Process;
+use crocustally_programs::daemon;
+
+/// How often the admin address learns whether the instance is ready.
+const READY_PERIOD: Duration = Duration::from_millis(500);
+
+fn common(cfg: &ControlSettings) -> Common {
+    Common { name: cfg.name.clone(), threads: cfg.threads, log: cfg.log, admin: cfg.admin.clone() }
+}
+
+fn main() -> ExitCode {
+    daemon::<RawControlSettings, ControlSettings, _>(
+        "crocustally-control",
+        "Keeps policy and evacuations, hears endpoints, and feeds gateways",
+        common,
+        |process, cfg| async move {
+            let Process { rt, shutdown, state, changes } = process;
+            let clock = Arc::new(SystemClock);
+            let dialect = Arc::new(ControlAdapter);
+            let (control, at) = Control::start(&rt, cfg, clock, shutdown, dialect).await?;
+            log::info!(callers = at.callers.to_string().as_str(); "listening");
+            rt.spawn(async move {
+                loop {
+                    state.set_ready(control.ready());
+                    if let Some(Ok(cfg)) = timeout(READY_PERIOD, changes.recv()).await {
+                        control.reload(&cfg);
+                    }
+                }
+            });
+            Ok(())
+        },
+    )
+}
--- a/crates/programs/src/bin/crocustally-entry.rs
+++ b/crates/programs/src/bin/crocustally-entry.rs
@@ -10,6 +10,7 @@
 use crocustally_net::SystemClock;
 use crocustally_net::sleep;
 use crocustally_programs::Common;
+use crocustally_programs::Process;
 use crocustally_programs::daemon;
 
 /// How often the admin address learns whether the entry is ready.
@@ -24,7 +25,8 @@
         "crocustally-entry",
         "Takes callers' requests and operators' tickets",
         common,
-        |rt, cfg, shutdown, state| async move {
+        |process, cfg| async move {
+            let Process { rt, shutdown, state, .. } = process;
             let name = cfg.name.clone();
             let (entry, at) = Entry::start(&rt, cfg, Arc::new(SystemClock), shutdown).await?;
             log::info!("{name}: callers on {}, peers on {}", at.callers, at.peers);
--- a/crates/programs/src/daemon.rs
+++ b/crates/programs/src/daemon.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
+use async_channel::Receiver;
 use clap::Arg;
 use clap::ArgAction;
 use clap::Command;
@@ -18,6 +20,7 @@
 use crocustally_net::load_settings;
 use crocustally_net::metrics_handle;
 use crocustally_net::serve_admin;
+use crocustally_net::timeout;
 use serde::de::DeserializeOwned;
 
 /// Exit code for settings that cannot be used.
@@ -36,19 +39,35 @@
     pub admin: Option<(SocketAddr, Option<String>)>,
 }
 
+/// What a daemon's start is given.
+pub struct Process<T> {
+    /// Runs everything.
+    pub rt: Runtime,
+    /// The planned stop.
+    pub shutdown: Shutdown,
+    /// Takes whether the daemon is ready.
+    pub state: AdminState,
+    /// Settings whenever the file has changed and can be used.
+    pub changes: Receiver<T>,
+}
+
+/// How often the settings file is looked at; it may change without a signal.
+const SETTINGS_PERIOD: Duration = Duration::from_secs(2);
+
 /// Runs a daemon from its command line to its planned stop.
 ///
 /// `start` starts it and says through the given state whether it is ready; it ends on SIGTERM or
-/// SIGINT, once the last answer has left the process.
+/// SIGINT, once the last answer has left the process. On SIGHUP, and whenever the settings file has
+/// changed, the file is read again.
 pub fn daemon<R, T, F>(
     program: &'static str,
     about: &'static str,
     common: fn(&T) -> Common,
-    start: impl FnOnce(Runtime, T, Shutdown, AdminState) -> F,
+    start: impl FnOnce(Process<T>, T) -> F,
 ) -> ExitCode
 where
     R: DeserializeOwned,
-    T: TryFrom<R, Error = SettingsError>,
+    T: TryFrom<R, Error = SettingsError> + Send + 'static,
     F: Future<Output = std::io::Result<()>>,
 {
     let settings =
@@ -71,30 +90,65 @@
     init_logs(common.log);
     metrics_handle();
     let rt = Runtime::start(common.threads);
-    match async_io::block_on(run(&rt, cfg, &common, start)) {
+    let reload = move || load_settings::<R, T>(&path);
+    match async_io::block_on(run(&rt, cfg, &common, reload, start)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            log::error!("{} cannot start: {e}", common.name);
+            log::error!(name = common.name.as_str(); "not started: {e}");
             ExitCode::FAILURE
         }
     }
 }
 
-async fn run<T, F: Future<Output = std::io::Result<()>>>(
+async fn run<T: Send + 'static, F: Future<Output = std::io::Result<()>>>(
     rt: &Runtime,
     cfg: T,
     common: &Common,
-    start: impl FnOnce(Runtime, T, Shutdown, AdminState) -> F,
+    reload: impl Fn() -> Result<T, SettingsError> + Send + 'static,
+    start: impl FnOnce(Process<T>, T) -> F,
 ) -> std::io::Result<()> {
     let shutdown = Shutdown::default();
     shutdown.on_signals(rt);
     let state = AdminState::default();
-    start(rt.clone(), cfg, shutdown.clone(), state.clone()).await?;
+    let changes = watch_settings(rt, reload)?;
+    let process =
+        Process { rt: rt.clone(), shutdown: shutdown.clone(), state: state.clone(), changes };
+    start(process, cfg).await?;
     if let Some((address, token)) = common.admin.clone() {
         // The admin address answers until the very end, also while the daemon is stopping.
         serve_admin(rt, address, token, state, &Shutdown::default()).await?;
     }
+    let (name, version) = (common.name.as_str(), env!("CARGO_PKG_VERSION"));
+    log::info!(name = name, version = version, pid = std::process::id(); "started");
+    shutdown.wait().await;
+    log::info!(name = name, requests = shutdown.busy_count(); "stopping");
     shutdown.finished().await;
-    log::info!("{}: stopped", common.name);
+    log::info!(name = name; "stopped");
+    log::logger().flush();
     Ok(())
 }
+
+/// Settings whenever the file is read again: at a signal, or when its text has changed.
+fn watch_settings<T: Send + 'static>(
+    rt: &Runtime,
+    reload: impl Fn() -> Result<T, SettingsError> + Send + 'static,
+) -> std::io::Result<Receiver<T>> {
+    let signals = Shutdown::reloads(rt)?;
+    let (tx, rx) = async_channel::bounded(1);
+    rt.spawn(async move {
+        loop {
+            let signalled = timeout(SETTINGS_PERIOD, signals.recv()).await.is_some();
+            match reload() {
+                Ok(cfg) => {
+                    if signalled {
+                        log::info!("settings read again");
+                    }
+                    let _ = tx.force_send(cfg);
+                }
+                // The settings that were read before stay in force.
+                Err(e) => log::warn!("settings not reloaded: {e}"),
+            }
+        }
+    });
+    Ok(rx)
+}
--- a/crates/programs/src/lib.rs
+++ b/crates/programs/src/lib.rs
@@ -3,4 +3,5 @@
 mod daemon;
 
 pub use daemon::Common;
+pub use daemon::Process;
 pub use daemon::daemon;
