--- a/crates/control/src/book.rs
+++ b/crates/control/src/book.rs
@@ -77,7 +77,13 @@
     }
 
     /// Adds a follower, which begins with everything that is known.
-    pub(crate) fn follow(&mut self, now: Instant, name: String, tx: Sender<Update>, mut all: Update) {
+    pub(crate) fn follow(
+        &mut self,
+        now: Instant,
+        name: String,
+        tx: Sender<Update>,
+        mut all: Update,
+    ) {
         self.gateways.insert(name, now);
         let known = |k: &crocustally_core::fleet::Known| {
             k.beat.to_wire(now.saturating_duration_since(k.heard))
--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -3,7 +3,6 @@
 use std::pin::Pin;
 use std::sync::Arc;
 
-use crocustally_core::Code;
 use crocustally_wire::FetchPolicyRequest;
 use crocustally_wire::FollowRequest;
 use crocustally_wire::GatewayNotice;
@@ -56,17 +55,7 @@
     }
 
     async fn attend(&self, req: Request<RankReport>) -> Result<Response<RankOrders>, Status> {
-        let report = req.into_inner();
-        if !self.control.log.leads() {
-            let leader = self.control.log.leader_address().map(|a| a.to_string());
-            let code = u32::from(Code::NoQuorum.number());
-            let leader = leader.unwrap_or_default();
-            return Ok(Response::new(RankOrders { code, leader, orders: Vec::new() }));
-        }
-        if let Some(load) = report.load {
-            self.control.book().rank(self.control.clock.now(), load);
-        }
-        Ok(Response::new(RankOrders::default()))
+        Ok(Response::new(self.control.attend(req.into_inner()).await))
     }
 
     async fn notice(&self, req: Request<GatewayNotice>) -> Result<Response<NoticeAck>, Status> {
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -9,7 +9,10 @@
 use std::time::Duration;
 
 use async_channel::Receiver;
+use crocustally_core::Code;
 use crocustally_core::control::Machine;
+use crocustally_core::raft::Role;
+use crocustally_core::traffic::TrafficPolicy;
 use crocustally_log::LogHandle;
 use crocustally_log::PeerSettings;
 use crocustally_log::ReplicaService;
@@ -21,6 +24,9 @@
 use crocustally_net::serve_grpc;
 use crocustally_net::serve_http;
 use crocustally_net::sleep;
+use crocustally_net::timeout;
+use crocustally_wire::RankOrders;
+use crocustally_wire::RankReport;
 use crocustally_wire::Update;
 use crocustally_wire::control_server::ControlServer;
 use crocustally_wire::replica_server::ReplicaServer;
@@ -31,9 +37,13 @@
 use crate::book::Book;
 use crate::book::log_part;
 use crate::calls::ControlService;
+use crate::coordinator::Coordinator;
+use crate::coordinator::Told;
 
 /// How often followers are told what can wait: often enough for the load of ranks to steer by.
 const FLUSH_PERIOD: Duration = Duration::from_millis(100);
+/// How long an agent's report waits for orders: its orders lapse soon after.
+const ATTEND_TIME: Duration = Duration::from_millis(100);
 /// Updates that may wait for one follower.
 const UPDATES_WAITING: usize = 256;
 /// Longest policy document in bytes.
@@ -47,6 +57,9 @@
     pub(crate) dialect: Arc<dyn ControlDialect>,
     machine: RwLock<Arc<Machine>>,
     book: Mutex<Book>,
+    coordinator: Mutex<Coordinator>,
+    /// The policy that is applied here, decoded.
+    policy: RwLock<Option<Arc<TrafficPolicy>>>,
 }
 
 /// Where a started control instance listens.
@@ -75,6 +88,8 @@
             dialect,
             machine: RwLock::new(Arc::new(Machine::default())),
             book: Mutex::new(Book::default()),
+            coordinator: Mutex::new(Coordinator::default()),
+            policy: RwLock::new(None),
         });
         rt.spawn(control.clone().watch_log(machines));
         rt.spawn(control.clone().flush());
@@ -140,10 +155,58 @@
                 evacuated = format!("{:?}", machine.evacuated()).as_str();
                 "replicated state changed"
             );
+            self.decode_policy(&machine);
             self.book().tell(log_part(&machine));
         }
     }
 
+    fn decode_policy(&self, machine: &Machine) {
+        let document = machine.policy();
+        if document.version == 0 {
+            return;
+        }
+        match self.dialect.policy(&document.body) {
+            Ok(policy) => {
+                let mut current = self.policy.write().unwrap_or_else(PoisonError::into_inner);
+                *current = Some(Arc::new(policy));
+            }
+            Err(e) => log::error!(version = document.version; "policy document unusable: {e}"),
+        }
+    }
+
+    /// Takes what an agent sees of its rank, and answers with its orders as soon as there are any.
+    pub(crate) async fn attend(&self, report: RankReport) -> RankOrders {
+        let Some(view) = self.log.view().filter(|v| v.role == Role::Leader) else {
+            let leader = self.log.leader_address().map(|a| a.to_string()).unwrap_or_default();
+            let code = u32::from(Code::NoQuorum.number());
+            return RankOrders { code, leader, orders: Vec::new() };
+        };
+        let now = self.clock.now();
+        if let Some(load) = report.load.clone() {
+            self.book().rank(now, load);
+        }
+        let policy = self.policy.read().unwrap_or_else(PoisonError::into_inner).clone();
+        self.coordinator().report(now, view.term, policy.as_deref(), &report);
+        let until = now + ATTEND_TIME;
+        loop {
+            let now = self.clock.now();
+            let told = self.coordinator().orders(now, &report);
+            let (event, wait) = match told {
+                Told::Orders(orders) => return RankOrders { orders, ..RankOrders::default() },
+                Told::Wait(event, wait) => (event, wait),
+            };
+            let left = until.saturating_duration_since(now);
+            if left.is_zero() || !self.log.leads() {
+                return RankOrders::default();
+            }
+            timeout(wait.min(left), event.listen()).await;
+        }
+    }
+
+    fn coordinator(&self) -> MutexGuard<'_, Coordinator> {
+        self.coordinator.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     async fn flush(self: Arc<Self>) {
         let mut controls = Vec::new();
         loop {
--- /dev/null
+++ b/crates/control/src/coordinator.rs
@@ -0,0 +1,226 @@
+//! [`Coordinator`]: the groups of ranks that the leader keeps evenly loaded.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crocustally_core::experts::Answered;
+use crocustally_core::experts::ExpertId;
+use crocustally_core::experts::GroupSettings;
+use crocustally_core::experts::HandoverPhase;
+use crocustally_core::experts::LayerMap;
+use crocustally_core::experts::MoveSettings;
+use crocustally_core::experts::RankGroup;
+use crocustally_core::experts::RankOrder;
+use crocustally_core::experts::RankReading;
+use crocustally_core::experts::RankView;
+use crocustally_core::traffic::EngineSpec;
+use crocustally_core::traffic::TrafficPolicy;
+use crocustally_wire as wire;
+use event_listener::Event;
+
+/// Experts that a rank may copy in one plan: copies arrive one after another, and popularity shifts
+/// every few seconds.
+const NEW_PER_RANK: usize = 2;
+/// Least gain of a plan: copying slows passes down for its time.
+const GAIN_MIN: f64 = 0.02;
+/// Least time between two plans, for the counters of the last switch to show.
+const PLAN_PAUSE: Duration = Duration::from_millis(250);
+/// Orders whose results are awaited; older ones count as unanswered.
+const ORDERS_KEPT: usize = 256;
+
+/// One group and what its agents are told.
+struct Group {
+    ranks: RankGroup,
+    /// Wakes the agents that wait for orders.
+    changed: Arc<Event>,
+    /// Addresses of the ranks' engines.
+    engines: Vec<String>,
+    next_number: u64,
+    sent: HashMap<u64, (usize, RankOrder)>,
+}
+
+/// The groups that the leader of one term keeps.
+#[derive(Default)]
+pub(crate) struct Coordinator {
+    term: u64,
+    groups: HashMap<(String, String), Group>,
+}
+
+/// What an agent is told, or what it waits for.
+pub(crate) enum Told {
+    /// Orders to carry out.
+    Orders(Vec<wire::RankOrder>),
+    /// Nothing yet: to be asked again when the event fires or the time is over.
+    Wait(Arc<Event>, Duration),
+}
+
+impl Coordinator {
+    /// Takes what an agent reports to the leader of `term`.
+    pub(crate) fn report(
+        &mut self,
+        now: Instant,
+        term: u64,
+        policy: Option<&TrafficPolicy>,
+        report: &wire::RankReport,
+    ) {
+        if term != self.term {
+            self.term = term;
+            self.groups.clear();
+        }
+        let Some(load) = &report.load else { return };
+        let spec = policy.and_then(|p| p.services().iter().find(|s| s.name == report.service));
+        let Some(engine) = spec.and_then(|s| s.engine.as_ref()).filter(|e| e.sets > 0) else {
+            return;
+        };
+        let group = self.groups.entry(key(report)).or_insert_with(|| Group::new(engine, term));
+        group.report(now, load, report);
+    }
+
+    /// The orders for the agent that has just reported.
+    pub(crate) fn orders(&mut self, now: Instant, report: &wire::RankReport) -> Told {
+        match self.groups.get_mut(&key(report)) {
+            Some(group) => group.orders(now, report.rank as usize),
+            None => Told::Wait(Arc::new(Event::new()), IDLE_WAIT),
+        }
+    }
+}
+
+/// Longest time that an agent waits while nothing is under way.
+const IDLE_WAIT: Duration = Duration::from_millis(100);
+/// Longest time that it waits during a switch, when orders may have to be sent again.
+const BUSY_WAIT: Duration = Duration::from_millis(30);
+
+fn key(report: &wire::RankReport) -> (String, String) {
+    let group = report.load.as_ref().map(|l| l.group.clone()).unwrap_or_default();
+    (report.service.clone(), group)
+}
+
+impl Group {
+    fn new(engine: &EngineSpec, term: u64) -> Self {
+        let moves = MoveSettings {
+            places: engine.places,
+            new_per_set: engine.spare,
+            new_per_rank: NEW_PER_RANK,
+            gain_min: GAIN_MIN,
+        };
+        let cfg =
+            GroupSettings { sets: engine.sets, experts: engine.experts, moves, pause: PLAN_PAUSE };
+        Self {
+            ranks: RankGroup::new(cfg, term),
+            changed: Arc::new(Event::new()),
+            engines: Vec::new(),
+            next_number: 0,
+            sent: HashMap::new(),
+        }
+    }
+
+    fn report(&mut self, now: Instant, load: &wire::RankLoad, report: &wire::RankReport) {
+        let rank = report.rank as usize;
+        let before = self.ranks.handover().phase();
+        for result in &report.results {
+            let Some((target, order)) = self.sent.remove(&result.number) else { continue };
+            let answered = match result.outcome {
+                1 => Answered::Begun,
+                2 => Answered::Holds,
+                3 => Answered::Refused,
+                _ => Answered::Nothing,
+            };
+            self.ranks.handover().answered(now, target, &order, answered);
+        }
+        if self.engines.len() != report.size as usize {
+            self.engines = vec![String::new(); report.size as usize];
+        }
+        if let Some(engine) = self.engines.get_mut(rank) {
+            engine.clone_from(&report.address);
+        }
+        self.ranks.report(now, reading(load, report));
+        if let Some((version, plan)) = self.ranks.plan(now) {
+            log::info!(
+                group = load.group.as_str(), epoch = load.epoch, version = version,
+                copies = plan.copies, skew_before = plan.skew_before, skew_after = plan.skew_after;
+                "map planned"
+            );
+            metrics::counter!("crocustally_map_plans").increment(1);
+        }
+        let phase = self.ranks.handover().phase();
+        if phase != before {
+            note_phase(load, before, phase);
+            self.changed.notify(usize::MAX);
+        }
+    }
+
+    fn orders(&mut self, now: Instant, rank: usize) -> Told {
+        let orders = self.ranks.handover().orders(now, rank);
+        if orders.is_empty() {
+            let busy = self.ranks.handover().phase() != HandoverPhase::Steady;
+            let wait = if busy { BUSY_WAIT } else { IDLE_WAIT };
+            return Told::Wait(self.changed.clone(), wait);
+        }
+        let epoch = self.ranks.handover().epoch();
+        let mut out = Vec::new();
+        for (target, order) in orders {
+            self.next_number += 1;
+            let number = self.next_number;
+            let address = self.engines.get(target).cloned().unwrap_or_default();
+            out.push(to_wire(number, address, epoch, &order));
+            self.sent.insert(number, (target, order));
+        }
+        let oldest = self.next_number.saturating_sub(ORDERS_KEPT as u64);
+        self.sent.retain(|number, _| *number > oldest);
+        Told::Orders(out)
+    }
+}
+
+fn note_phase(load: &wire::RankLoad, before: HandoverPhase, phase: HandoverPhase) {
+    log::info!(
+        group = load.group.as_str(), epoch = load.epoch, step = load.step, map = load.map,
+        before = format!("{before:?}").as_str(), now = format!("{phase:?}").as_str();
+        "map switch"
+    );
+}
+
+fn reading(load: &wire::RankLoad, report: &wire::RankReport) -> RankReading {
+    let some = |version: u64| (version > 0).then_some(version);
+    let ids = |l: &wire::ExpertList| l.experts.iter().map(|e| ExpertId(*e as u16)).collect();
+    RankReading {
+        view: RankView {
+            rank: report.rank as usize,
+            size: report.size as usize,
+            epoch: load.epoch,
+            open: load.open,
+            step: load.step,
+            map: load.map,
+            prepared: some(report.prepared),
+            armed: some(report.armed).map(|version| (version, report.armed_step)),
+            held: report.held,
+        },
+        counters: report.counts.clone(),
+        experts: report.experts.iter().map(ids).collect(),
+    }
+}
+
+fn to_wire(number: u64, address: String, epoch: u64, order: &RankOrder) -> wire::RankOrder {
+    let mut out = wire::RankOrder { number, address, epoch, ..wire::RankOrder::default() };
+    match order {
+        RankOrder::Prepare { version, sets } => {
+            out.kind = 1;
+            out.version = *version;
+            out.sets = sets.iter().map(set_to_wire).collect();
+        }
+        RankOrder::Arm { version, step } => {
+            (out.kind, out.version, out.step) = (2, *version, *step);
+        }
+        RankOrder::Hold { step } => (out.kind, out.step) = (3, *step),
+        RankOrder::Go { step } => (out.kind, out.step) = (4, *step),
+    }
+    out
+}
+
+fn set_to_wire(map: &LayerMap) -> wire::SetMap {
+    let list = |experts: &smallvec::SmallVec<[ExpertId; 4]>| wire::ExpertList {
+        experts: experts.iter().map(|e| u32::from(e.0)).collect(),
+    };
+    wire::SetMap { ranks: map.ranks.iter().map(list).collect() }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,6 +11,7 @@
 mod book;
 mod calls;
 mod control;
+mod coordinator;
 mod dialect;
 mod settings;
 
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -85,11 +85,8 @@
     ///
     /// Instances know each other by address: a replaced disk comes back under the same one.
     pub fn log_settings(&self) -> LogSettings {
-        let peer = |a: &SocketAddr| PeerSettings {
-            name: a.to_string(),
-            address: *a,
-            voter: self.found,
-        };
+        let peer =
+            |a: &SocketAddr| PeerSettings { name: a.to_string(), address: *a, voter: self.found };
         let others = self.seeds.iter().filter(|a| **a != self.peer_listen);
         LogSettings {
             name: self.peer_listen.to_string(),
--- a/crates/core/src/experts/map.rs
+++ b/crates/core/src/experts/map.rs
@@ -31,10 +31,14 @@
 }
 
 impl LayerMap {
+    /// Ranks that hold nothing yet.
+    pub fn empty(ranks: usize, experts: usize) -> Self {
+        Self { ranks: vec![SmallVec::new(); ranks], holders: vec![Holders::new(); experts] }
+    }
+
     /// Experts in turn over the ranks, spare slots filled with the first ones again.
     pub fn in_turn(ranks: usize, experts: usize, slots: usize) -> Self {
-        let mut map =
-            Self { ranks: vec![SmallVec::new(); ranks], holders: vec![Holders::new(); experts] };
+        let mut map = Self::empty(ranks, experts);
         for i in 0..ranks * slots {
             let expert = ExpertId((i % experts) as u16);
             let rank = RankId((i % ranks) as u16);
--- a/crates/programs/src/bin/crocustally-control.rs
+++ b/crates/daemons/src/bin/crocustally-control.rs
@@ -7,12 +7,12 @@
 use crocustally_control::Control;
 use crocustally_control::ControlSettings;
 use crocustally_control::RawControlSettings;
+use crocustally_daemons::Common;
+use crocustally_daemons::Process;
+use crocustally_daemons::daemon;
 use crocustally_net::SystemClock;
 use crocustally_net::timeout;
 use crocustally_platform::ControlAdapter;
-use crocustally_programs::Common;
-use crocustally_programs::Process;
-use crocustally_programs::daemon;
 
 /// How often the admin address learns whether the instance is ready.
 const READY_PERIOD: Duration = Duration::from_millis(500);
--- a/crates/programs/src/bin/crocustally-gateway.rs
+++ b/crates/daemons/src/bin/crocustally-gateway.rs
@@ -4,15 +4,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crocustally_daemons::Common;
+use crocustally_daemons::Process;
+use crocustally_daemons::daemon;
 use crocustally_gateway::Gateway;
 use crocustally_gateway::GatewaySettings;
 use crocustally_gateway::RawGatewaySettings;
 use crocustally_net::SystemClock;
 use crocustally_net::timeout;
 use crocustally_platform::GatewayAdapter;
-use crocustally_programs::Common;
-use crocustally_programs::Process;
-use crocustally_programs::daemon;
 
 /// How often the admin address learns whether the gateway is ready.
 const READY_PERIOD: Duration = Duration::from_millis(500);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -182,9 +182,10 @@
         if let Some(first) = self.first {
             metrics::histogram!("crocustally_first_byte_seconds").record(first.as_secs_f64());
         }
-        let (in_flight, limit, waiting, pass) = self.gateway.places(&self.service).with(|pool| {
-            (pool.in_flight(), pool.limit(now), pool.queued(), pool.pass(now))
-        });
+        let (in_flight, limit, waiting, pass) = self
+            .gateway
+            .places(&self.service)
+            .with(|pool| (pool.in_flight(), pool.limit(now), pool.queued(), pool.pass(now)));
         let tries: Vec<String> = self
             .tries
             .iter()
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -92,11 +92,7 @@
 }
 
 /// Opens a stream at one endpoint, trying others that refuse.
-async fn open(
-    ex: &mut Exchange,
-    last_event: Option<u64>,
-    again: bool,
-) -> Result<Run, NotOpened> {
+async fn open(ex: &mut Exchange, last_event: Option<u64>, again: bool) -> Result<Run, NotOpened> {
     let mut again = again;
     loop {
         let place = ex.place(again).await.map_err(NotOpened::Refused)?;
@@ -234,7 +230,8 @@
                 }
                 Next::Broken(ended) => {
                     if !self.resume(ended).await {
-                        let e = io::Error::new(io::ErrorKind::ConnectionAborted, "stream broke off");
+                        let e =
+                            io::Error::new(io::ErrorKind::ConnectionAborted, "stream broke off");
                         return Some(Err(e));
                     }
                 }
--- a/crates/log/src/handle.rs
+++ b/crates/log/src/handle.rs
@@ -321,13 +321,7 @@
     }
 
     /// Takes messages from another replica, if they are meant for this identity.
-    pub fn receive(
-        &self,
-        from: ReplicaId,
-        to: ReplicaId,
-        name: String,
-        messages: Vec<Message>,
-    ) {
+    pub fn receive(&self, from: ReplicaId, to: ReplicaId, name: String, messages: Vec<Message>) {
         self.know(from, name);
         if let (Some(events), true) = (&self.shared.events, self.shared.id == Some(to)) {
             let _ = events.try_send(Event::Messages { from, messages });
--- a/crates/net/src/coded_io.rs
+++ b/crates/net/src/coded_io.rs
@@ -82,7 +82,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        if self.coded && let Some(ours) = replacement(buf) {
+        if self.coded
+            && let Some(ours) = replacement(buf)
+        {
             self.pending.extend_from_slice(ours.as_bytes());
             return Poll::Ready(Ok(buf.len()));
         }
--- a/crates/net/src/telemetry.rs
+++ b/crates/net/src/telemetry.rs
@@ -50,7 +50,8 @@
     let started = logforth::starter_log::builder().dispatch(|d| d.append(queue)).try_apply();
     if started.is_ok() {
         log::set_max_level(log::LevelFilter::Info);
-        let spawned = thread::Builder::new().name("logs".to_owned()).spawn(move || write_lines(&rx));
+        let spawned =
+            thread::Builder::new().name("logs".to_owned()).spawn(move || write_lines(&rx));
         assert!(spawned.is_ok(), "the machine gives no more threads");
     }
 }
--- a/crates/programs/src/bin/crocustally-agent.rs
+++ b/crates/programs/src/bin/crocustally-agent.rs
@@ -6,10 +6,10 @@
 use crocustally_agent::Agent;
 use crocustally_agent::AgentSettings;
 use crocustally_agent::RawAgentSettings;
+use crocustally_daemons::Common;
+use crocustally_daemons::Process;
+use crocustally_daemons::daemon;
 use crocustally_net::SystemClock;
-use crocustally_programs::Common;
-use crocustally_programs::Process;
-use crocustally_programs::daemon;
 
 fn common(cfg: &AgentSettings) -> Common {
     Common { name: cfg.name.clone(), threads: cfg.threads, log: cfg.log, admin: cfg.admin.clone() }
--- a/crates/programs/src/bin/crocustally-entry.rs
+++ b/crates/programs/src/bin/crocustally-entry.rs
@@ -4,14 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crocustally_daemons::Common;
+use crocustally_daemons::Process;
+use crocustally_daemons::daemon;
 use crocustally_entry::Entry;
 use crocustally_entry::EntrySettings;
 use crocustally_entry::RawEntrySettings;
 use crocustally_net::SystemClock;
 use crocustally_net::sleep;
-use crocustally_programs::Common;
-use crocustally_programs::Process;
-use crocustally_programs::daemon;
 
 /// How often the admin address learns whether the entry is ready.
 const READY_PERIOD: Duration = Duration::from_millis(100);
