--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -82,14 +82,14 @@
     ) -> std::io::Result<(Arc<Self>, ControlAddresses)> {
         let (log, machines) = LogHandle::start(rt, cfg.log_settings(), clock.clone())?;
         let control = Arc::new(Self {
-            cfg,
             clock,
             log,
             dialect,
             machine: RwLock::new(Arc::new(Machine::default())),
             book: Mutex::new(Book::default()),
-            coordinator: Mutex::new(Coordinator::default()),
+            coordinator: Mutex::new(Coordinator::new(cfg.copies_per_plan)),
             policy: RwLock::new(None),
+            cfg,
         });
         rt.spawn(control.clone().watch_log(machines));
         rt.spawn(control.clone().flush());
--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -20,13 +20,10 @@
 use crocustally_wire as wire;
 use event_listener::Event;
 
-/// Experts that a rank may copy in one plan: copies arrive one after another, and popularity shifts
-/// every few seconds.
-const NEW_PER_RANK: usize = 2;
 /// Least gain of a plan: copying slows passes down for its time.
 const GAIN_MIN: f64 = 0.02;
 /// Least time between two plans, for the counters of the last switch to show.
-const PLAN_PAUSE: Duration = Duration::from_millis(250);
+const PLAN_PAUSE: Duration = Duration::from_millis(100);
 /// Orders whose results are awaited; older ones count as unanswered.
 const ORDERS_KEPT: usize = 256;
 
@@ -42,8 +39,9 @@
 }
 
 /// The groups that the leader of one term keeps.
-#[derive(Default)]
 pub(crate) struct Coordinator {
+    /// Experts that one plan may copy to a rank.
+    copies_per_plan: usize,
     term: u64,
     groups: HashMap<(String, String), Group>,
 }
@@ -57,6 +55,10 @@
 }
 
 impl Coordinator {
+    pub(crate) fn new(copies_per_plan: usize) -> Self {
+        Self { copies_per_plan, term: 0, groups: HashMap::new() }
+    }
+
     /// Takes what an agent reports to the leader of `term`.
     pub(crate) fn report(
         &mut self,
@@ -74,7 +76,9 @@
         let Some(engine) = spec.and_then(|s| s.engine.as_ref()).filter(|e| e.sets > 0) else {
             return;
         };
-        let group = self.groups.entry(key(report)).or_insert_with(|| Group::new(engine, term));
+        let copies = self.copies_per_plan;
+        let group =
+            self.groups.entry(key(report)).or_insert_with(|| Group::new(engine, term, copies));
         group.report(now, load, report);
     }
 
@@ -98,11 +102,11 @@
 }
 
 impl Group {
-    fn new(engine: &EngineSpec, term: u64) -> Self {
+    fn new(engine: &EngineSpec, term: u64, copies_per_plan: usize) -> Self {
         let moves = MoveSettings {
             places: engine.places,
             new_per_set: engine.spare,
-            new_per_rank: NEW_PER_RANK,
+            new_per_rank: copies_per_plan,
             gain_min: GAIN_MIN,
         };
         let cfg =
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -34,6 +34,9 @@
     pub losses: usize,
     /// Folder for the replicated log.
     pub data: PathBuf,
+    /// Experts that one plan may copy to a rank.
+    #[serde(default = "default_copies")]
+    pub copies_per_plan: usize,
     /// Threads that run it, besides the log's own.
     #[serde(default = "default_threads")]
     pub threads: usize,
@@ -49,6 +52,11 @@
     1
 }
 
+/// Copies arrive one after another, and popularity shifts every few seconds.
+fn default_copies() -> usize {
+    1
+}
+
 fn default_threads() -> usize {
     1
 }
@@ -72,6 +80,8 @@
     pub voters: usize,
     /// Folder for the replicated log.
     pub data: PathBuf,
+    /// Experts that one plan may copy to a rank.
+    pub copies_per_plan: usize,
     /// Threads that run it, besides the log's own.
     pub threads: usize,
     /// How log lines are written.
@@ -110,6 +120,9 @@
                 return Err(SettingsError::invalid(key, "is empty"));
             }
         }
+        if raw.copies_per_plan == 0 {
+            return Err(SettingsError::invalid("copies_per_plan", "must be 1 or more"));
+        }
         if raw.threads == 0 {
             return Err(SettingsError::invalid("threads", "must be 1 or more"));
         }
@@ -127,6 +140,7 @@
             found: raw.found,
             voters: 2 * raw.losses + 1,
             data: raw.data,
+            copies_per_plan: raw.copies_per_plan,
             threads: raw.threads,
             log: raw.log,
             admin: raw.admin.map(|a| a.check()).transpose()?,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -184,6 +184,7 @@
     fn pool_settings(&self, service: &ServicePolicy) -> PoolSettings {
         let gateways = self.beliefs().gateways.max(1) + GATEWAYS_UNKNOWN;
         let limiter = service.engine.as_ref().map(|e| LimiterSettings {
+            pass_target: self.cfg.pass_target,
             pass_fixed: e.step * e.stride,
             ..LimiterSettings::default()
         });
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crocustally_core::dispatch::LimiterSettings;
 use crocustally_net::AdminSettings;
 use crocustally_net::LogFormat;
 use crocustally_net::SettingsError;
@@ -44,6 +45,9 @@
     /// Requests a second that a cold endpoint gets besides, over all gateways.
     #[serde(default = "default_cold_slack")]
     pub cold_slack: f64,
+    /// Mean time of a pass that the streams in flight are held to, in milliseconds.
+    #[serde(default = "default_pass_target")]
+    pub pass_target_ms: f64,
     /// Threads that run it.
     #[serde(default = "default_threads")]
     pub threads: usize,
@@ -79,6 +83,10 @@
     0.0
 }
 
+fn default_pass_target() -> f64 {
+    LimiterSettings::default().pass_target.as_secs_f64() * 1e3
+}
+
 fn default_threads() -> usize {
     1
 }
@@ -108,6 +116,8 @@
     pub cold_factor: f64,
     /// Requests a second that a cold endpoint gets besides, over all gateways.
     pub cold_slack: f64,
+    /// Mean time of a pass that the streams in flight are held to.
+    pub pass_target: Duration,
     /// Threads that run it.
     pub threads: usize,
     /// How log lines are written.
@@ -136,8 +146,11 @@
                 return Err(SettingsError::invalid(key, "must be 0 or more"));
             }
         }
-        if !raw.retry_span_s.is_finite() || raw.retry_span_s <= 0.0 {
-            return Err(SettingsError::invalid("retry_span_s", "must be more than 0"));
+        for (key, n) in [("retry_span_s", raw.retry_span_s), ("pass_target_ms", raw.pass_target_ms)]
+        {
+            if !n.is_finite() || n <= 0.0 {
+                return Err(SettingsError::invalid(key, "must be more than 0"));
+            }
         }
         if raw.threads == 0 {
             return Err(SettingsError::invalid("threads", "must be 1 or more"));
@@ -159,6 +172,7 @@
             retry_slack: raw.retry_slack,
             cold_factor: raw.cold_factor,
             cold_slack: raw.cold_slack,
+            pass_target: Duration::from_secs_f64(raw.pass_target_ms / 1e3),
             threads: raw.threads,
             log: raw.log,
             admin: raw.admin.map(|a| a.check()).transpose()?,
--- a/crates/rank/src/agent.rs
+++ b/crates/rank/src/agent.rs
@@ -38,7 +38,7 @@
 use crate::RankSettings;
 
 /// Time between two readings of the counters: demand is averaged over more than twice that.
-const COUNT_PERIOD: Duration = Duration::from_millis(250);
+const COUNT_PERIOD: Duration = Duration::from_millis(90);
 /// Pause after an engine or a coordinator that does not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Longest time for an answer of the engine beside the agent.
