Streams are bounded by the pass that a shift may cause

Cause: between shifts the limiter filled passes up to 75 ms, and the next shift of popularity made every stream in flight late; while a shift lasted it refused more than passes called for. Change: the engine's published speeds give the requests a rank may have so that a pass stays within 110 ms at the skew of a fresh shift; the reactive limit moves to 100 ms. Orders of a silent agent go through another one after 150 ms while a pass may be held back.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -42,8 +42,6 @@
 
 /// How often followers are told what can wait: often enough for the load of ranks to steer by.
 const FLUSH_PERIOD: Duration = Duration::from_millis(100);
-/// How long an agent's report waits for orders: its orders lapse soon after.
-const ATTEND_TIME: Duration = Duration::from_millis(100);
 /// Updates that may wait for one follower.
 const UPDATES_WAITING: usize = 256;
 /// Longest policy document in bytes.
@@ -187,19 +185,18 @@
         }
         let policy = self.policy.read().unwrap_or_else(PoisonError::into_inner).clone();
         self.coordinator().report(now, view.term, policy.as_deref(), &report);
-        let until = now + ATTEND_TIME;
-        loop {
-            let now = self.clock.now();
-            let told = self.coordinator().orders(now, &report);
-            let (event, wait) = match told {
-                Told::Orders(orders) => return RankOrders { orders, ..RankOrders::default() },
-                Told::Wait(event, wait) => (event, wait),
-            };
-            let left = until.saturating_duration_since(now);
-            if left.is_zero() || !self.log.leads() {
-                return RankOrders::default();
+        let told = self.coordinator().orders(now, &report);
+        let (event, wait) = match told {
+            Told::Orders(orders) => return RankOrders { orders, ..RankOrders::default() },
+            Told::Wait(event, wait) => (event, wait),
+        };
+        timeout(wait, event.listen()).await;
+        let now = self.clock.now();
+        match self.coordinator().orders(now, &report) {
+            Told::Orders(orders) if self.log.leads() => {
+                RankOrders { orders, ..RankOrders::default() }
             }
-            timeout(wait.min(left), event.listen()).await;
+            _ => RankOrders::default(),
         }
     }
 
--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -93,8 +93,8 @@
 
 /// Longest time that an agent waits while nothing is under way.
 const IDLE_WAIT: Duration = Duration::from_millis(100);
-/// Longest time that it waits during a switch, when orders may have to be sent again.
-const BUSY_WAIT: Duration = Duration::from_millis(30);
+/// The same while a pass may be held back, when orders may have to be sent again.
+const HELD_WAIT: Duration = Duration::from_millis(25);
 
 fn key(report: &wire::RankReport) -> (String, String) {
     let group = report.load.as_ref().map(|l| l.group.clone()).unwrap_or_default();
@@ -158,9 +158,10 @@
     fn orders(&mut self, now: Instant, rank: usize) -> Told {
         let orders = self.ranks.handover().orders(now, rank);
         if orders.is_empty() {
-            let busy = self.ranks.handover().phase() != HandoverPhase::Steady;
-            let wait = if busy { BUSY_WAIT } else { IDLE_WAIT };
-            return Told::Wait(self.changed.clone(), wait);
+            if self.ranks.handover().may_be_held() {
+                return Told::Wait(self.changed.clone(), HELD_WAIT);
+            }
+            return Told::Wait(self.changed.clone(), IDLE_WAIT);
         }
         let epoch = self.ranks.handover().epoch();
         let mut out = Vec::new();
--- a/crates/core/src/dispatch/limiter.rs
+++ b/crates/core/src/dispatch/limiter.rs
@@ -16,15 +16,18 @@
     pub floor: f64,
     /// Streams that are never exceeded.
     pub ceiling: f64,
+    /// Streams of all gateways together at each endpoint, on the mean.
+    pub per_endpoint: f64,
 }
 
 impl Default for LimiterSettings {
     fn default() -> Self {
         Self {
-            pass_target: Duration::from_millis(75),
+            pass_target: Duration::from_millis(100),
             pass_fixed: Duration::from_millis(20),
             floor: 6.0,
             ceiling: 144.0,
+            per_endpoint: 12.0,
         }
     }
 }
@@ -69,7 +72,7 @@
 
     /// Streams that may be in flight.
     pub fn limit(&self, now: Instant) -> u32 {
-        let LimiterSettings { pass_target, pass_fixed, floor, ceiling } = self.cfg;
+        let LimiterSettings { pass_target, pass_fixed, floor, ceiling, .. } = self.cfg;
         let Some(pass) = self.pass(now) else { return ceiling.min(floor * 2.0) as u32 };
         let fixed = pass_fixed.as_secs_f64();
         let work = (pass.as_secs_f64() - fixed).max(fixed * 0.1);
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -363,7 +363,7 @@
 
     /// The best member with room.
     fn place(&mut self, now: Instant, prompt: u32, tried: &[MemberKey]) -> Option<MemberKey> {
-        if self.in_flight >= self.limit(now) {
+        if self.in_flight >= self.limit(now) || self.is_full(now) {
             return None;
         }
         let gateways = f64::from(self.cfg.gateways.max(1));
@@ -391,6 +391,18 @@
         best.map(|(_, key)| key)
     }
 
+    /// Whether all gateways together keep as many streams in flight as passes bear.
+    fn is_full(&self, now: Instant) -> bool {
+        let Some(limiter) = &self.cfg.limiter else { return false };
+        let usable = |m: &&Member| m.usable(now) && self.in_service(m);
+        let (mut load, mut members) = (0, 0);
+        for m in self.members.values().filter(usable) {
+            load += m.load(now);
+            members += 1;
+        }
+        f64::from(load) >= limiter.per_endpoint * f64::from(members)
+    }
+
     /// Expected cost of one more request at a member; lower is better.
     fn score(&self, now: Instant, m: &Member, prompt: u32) -> f64 {
         let far = if m.known.beat.domain == self.cfg.domain { 1.0 } else { OTHER_DOMAIN };
--- a/crates/core/src/experts/handover.rs
+++ b/crates/core/src/experts/handover.rs
@@ -109,6 +109,8 @@
 const FRESH: Duration = Duration::from_millis(1000);
 /// A rank that has not been heard for this long gets its orders from another agent.
 const RELAY_AFTER: Duration = Duration::from_millis(500);
+/// The same while a pass may be held back.
+const RELAY_AFTER_HELD: Duration = Duration::from_millis(150);
 /// Longest time to prepare one map before another one is planned.
 const PREPARE_MAX: Duration = Duration::from_secs(12);
 /// Versions that one coordinator may give out.
@@ -249,14 +251,23 @@
         self.advance(now);
     }
 
+    /// Whether a pass may be held back, so that every moment counts.
+    pub fn may_be_held(&self) -> bool {
+        !matches!(
+            self.phase,
+            HandoverPhase::Gathering | HandoverPhase::Steady | HandoverPhase::Preparing { .. }
+        )
+    }
+
     /// The orders that the agent of `rank` should carry out now, each with the rank it is for: its
     /// own, or one whose agent is silent.
     pub fn orders(&mut self, now: Instant, rank: usize) -> Vec<(usize, RankOrder)> {
         let mut out = Vec::new();
+        let relay_after = if self.may_be_held() { RELAY_AFTER_HELD } else { RELAY_AFTER };
         for target in 0..self.ranks.len() {
             let silent = self.ranks[target]
                 .as_ref()
-                .is_some_and(|s| now.saturating_duration_since(s.at) > RELAY_AFTER);
+                .is_some_and(|s| now.saturating_duration_since(s.at) > relay_after);
             if (target == rank || silent)
                 && let Some(order) = self.order_for(now, target)
             {
--- a/crates/core/src/traffic/engine.rs
+++ b/crates/core/src/traffic/engine.rs
@@ -29,6 +29,30 @@
     pub places: usize,
     /// New experts of a set that one prepared map may bring to a rank.
     pub spare: usize,
+    /// Share of the work for tokens that goes to experts.
+    pub expert_share: f64,
     /// Time to copy one expert to a rank.
     pub copy: Duration,
 }
+
+impl EngineSpec {
+    /// Time of a pass with `requests` at every rank, and prompts of `prompt` tokens read at every
+    /// rank, when the most loaded rank has `skew` times the mean.
+    pub fn pass(&self, requests: f64, prompt: f64, skew: f64) -> Duration {
+        let uneven = 1.0 - self.expert_share + self.expert_share * skew;
+        let writing = self.step_per_request.as_secs_f64() * requests * f64::from(self.stride);
+        let reading = if self.read_per_s > 0.0 { prompt / self.read_per_s } else { 0.0 };
+        let fixed = self.step.as_secs_f64() * f64::from(self.stride);
+        Duration::from_secs_f64(fixed + (writing + reading) * uneven)
+    }
+
+    /// Most requests at every rank with which a pass stays within `bound` at this skew.
+    pub fn requests_within(&self, bound: Duration, prompt: f64, skew: f64) -> f64 {
+        let none = self.pass(0.0, prompt, skew).as_secs_f64();
+        let each = self.pass(1.0, prompt, skew).as_secs_f64() - none;
+        if each <= 0.0 {
+            return f64::from(self.slots);
+        }
+        ((bound.as_secs_f64() - none) / each).clamp(1.0, f64::from(self.slots))
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -37,6 +37,12 @@
 /// takes two missed checks, a second apart, to send them elsewhere.
 const LINGER: Duration = Duration::from_millis(2500);
 
+/// Skew right after a shift of popularity, before a new map is in force.
+const SHIFT_SKEW: f64 = 2.2;
+/// Prompts that a rank reads in one pass on the mean: answers take some twenty passes, and a rank
+/// writes about ten.
+const READING_SHARE: f64 = 0.5;
+
 /// Beliefs that the feeds from control instances change.
 #[derive(Debug, Default)]
 pub(crate) struct Beliefs {
@@ -186,6 +192,11 @@
         let limiter = service.engine.as_ref().map(|e| LimiterSettings {
             pass_target: self.cfg.pass_target,
             pass_fixed: e.step * e.stride,
+            per_endpoint: e.requests_within(
+                self.cfg.pass_bound,
+                READING_SHARE * f64::from(e.usual_prompt),
+                SHIFT_SKEW,
+            ),
             ..LimiterSettings::default()
         });
         PoolSettings {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -48,6 +48,9 @@
     /// Mean time of a pass that the streams in flight are held to, in milliseconds.
     #[serde(default = "default_pass_target")]
     pub pass_target_ms: f64,
+    /// Longest pass that a shift of popularity may cause, in milliseconds.
+    #[serde(default = "default_pass_bound")]
+    pub pass_bound_ms: f64,
     /// Threads that run it.
     #[serde(default = "default_threads")]
     pub threads: usize,
@@ -87,6 +90,10 @@
     LimiterSettings::default().pass_target.as_secs_f64() * 1e3
 }
 
+fn default_pass_bound() -> f64 {
+    110.0
+}
+
 fn default_threads() -> usize {
     1
 }
@@ -118,6 +125,8 @@
     pub cold_slack: f64,
     /// Mean time of a pass that the streams in flight are held to.
     pub pass_target: Duration,
+    /// Longest pass that a shift of popularity may cause.
+    pub pass_bound: Duration,
     /// Threads that run it.
     pub threads: usize,
     /// How log lines are written.
@@ -173,6 +182,7 @@
             cold_factor: raw.cold_factor,
             cold_slack: raw.cold_slack,
             pass_target: Duration::from_secs_f64(raw.pass_target_ms / 1e3),
+            pass_bound: Duration::from_secs_f64(raw.pass_bound_ms / 1e3),
             threads: raw.threads,
             log: raw.log,
             admin: raw.admin.map(|a| a.check()).transpose()?,
