Map plans: one pass of lead, no plan below 8% gain, given up when popularity shifts

Cause: a small refinement that began just before a shift delayed the answer to it by 0.6 s. Change: as the title says; demand over 150 ms; load of ranks that get no new work counts for the bound on streams, since they run every pass with the others.

--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -21,7 +21,7 @@
 use event_listener::Event;
 
 /// Least gain of a plan: copying slows passes down for its time.
-const GAIN_MIN: f64 = 0.02;
+const GAIN_MIN: f64 = 0.08;
 /// Least time between two plans, for the counters of the last switch to show.
 const PLAN_PAUSE: Duration = Duration::from_millis(100);
 /// Orders whose results are awaited; older ones count as unanswered.
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -19,6 +19,7 @@
 use super::waiting::Waiter;
 use super::waiting::Waiting;
 use crate::Code;
+use crate::fleet::BeatState;
 use crate::fleet::Known;
 
 /// What bounds a pool.
@@ -394,9 +395,9 @@
     /// Whether all gateways together keep as many streams in flight as passes bear.
     fn is_full(&self, now: Instant) -> bool {
         let Some(limiter) = &self.cfg.limiter else { return false };
-        let usable = |m: &&Member| m.usable(now) && self.in_service(m);
         let (mut load, mut members) = (0, 0);
-        for m in self.members.values().filter(usable) {
+        // Ranks that get no new work still run every pass with the others.
+        for m in self.members.values().filter(|m| m.known.beat.state != BeatState::Gone) {
             load += m.load(now);
             members += 1;
         }
--- a/crates/core/src/experts/demand.rs
+++ b/crates/core/src/experts/demand.rs
@@ -5,7 +5,7 @@
 
 /// Memory of the demand: short against the time between two shifts of popularity, long against the
 /// noise of one pass.
-const MEMORY: Duration = Duration::from_millis(250);
+const MEMORY: Duration = Duration::from_millis(150);
 
 /// Decayed choices of each expert, set by set, over all ranks of a group.
 #[derive(Clone, Debug)]
--- a/crates/core/src/experts/group.rs
+++ b/crates/core/src/experts/group.rs
@@ -47,9 +47,15 @@
     /// Experts of each rank, with the map version that they belong to.
     held: Vec<Option<(u64, Vec<Vec<ExpertId>>)>>,
     planned: Option<Instant>,
+    /// Skew that the plan under way was made for.
+    planned_for: f64,
     epoch: u64,
 }
 
+/// Growth of the skew, while a map is being prepared, at which it is given up for a new plan: its
+/// copies were chosen for a popularity that is gone.
+const REPLAN_GROWTH: f64 = 1.4;
+
 impl RankGroup {
     /// A group that the coordinator of `term` keeps.
     pub fn new(cfg: GroupSettings, term: u64) -> Self {
@@ -59,6 +65,7 @@
             demand: None,
             held: Vec::new(),
             planned: None,
+            planned_for: 0.0,
             epoch: 0,
         }
     }
@@ -95,15 +102,21 @@
     pub fn plan(&mut self, now: Instant) -> Option<(u64, MovePlan)> {
         let rested =
             self.planned.is_none_or(|at| now.saturating_duration_since(at) >= self.cfg.pause);
-        if self.handover.phase() != HandoverPhase::Steady || !rested {
+        let preparing = matches!(self.handover.phase(), HandoverPhase::Preparing { .. });
+        if !rested || !(preparing || self.handover.phase() == HandoverPhase::Steady) {
             return None;
         }
-        let map = self.handover.steady(now)?;
+        let map = self.handover.map_in_use(now)?;
         let current = self.placement(map)?;
         let demand = self.demand.as_ref()?;
         let shares: Option<Vec<Vec<f64>>> = (0..self.cfg.sets).map(|s| demand.shares(s)).collect();
+        let shares = shares?;
         self.planned = Some(now);
-        let plan = MovePlanner { cfg: self.cfg.moves }.plan(&current, &shares?)?;
+        if preparing && MovePlanner::skew(&current, &shares) < REPLAN_GROWTH * self.planned_for {
+            return None;
+        }
+        let plan = MovePlanner { cfg: self.cfg.moves }.plan(&current, &shares)?;
+        self.planned_for = plan.skew_before;
         let version = self.handover.begin(now, plan.sets.clone());
         Some((version, plan))
     }
--- a/crates/core/src/experts/handover.rs
+++ b/crates/core/src/experts/handover.rs
@@ -94,9 +94,9 @@
     },
 }
 
-/// Passes between the last one begun and the one that is held back: word goes round in less than
-/// one pass.
-const LEAD: u64 = 2;
+/// Passes between the last one begun and the one that is held back: word goes round in much less
+/// than one pass.
+const LEAD: u64 = 1;
 /// The same while orders get lost, so that they can be sent again before the pass would begin.
 const LEAD_LOSSY: u64 = 8;
 /// How long orders count as lossy after one got no answer.
@@ -178,14 +178,15 @@
         self.ranks.len()
     }
 
-    /// Version of the map that all ranks use, while nothing is under way and all are heard.
-    pub fn steady(&self, now: Instant) -> Option<u64> {
-        let fresh = |s: &Option<Seen>| {
-            s.as_ref().is_some_and(|s| now.saturating_duration_since(s.at) < FRESH && s.view.open)
+    /// Version of the map that all ranks use, if all have been heard just now.
+    pub fn map_in_use(&self, now: Instant) -> Option<u64> {
+        let first = self.ranks.first()?.as_ref()?.view.map;
+        let same = |s: &Option<Seen>| {
+            s.as_ref().is_some_and(|s| {
+                now.saturating_duration_since(s.at) < FRESH && s.view.open && s.view.map == first
+            })
         };
-        let steady = self.phase == HandoverPhase::Steady && self.ranks.iter().all(fresh);
-        let first = self.ranks.first()?.as_ref()?;
-        steady.then_some(first.view.map)
+        self.ranks.iter().all(same).then_some(first)
     }
 
     /// The placement under `version`, if this coordinator brought it into force.
--- a/crates/core/src/experts/moves.rs
+++ b/crates/core/src/experts/moves.rs
@@ -108,6 +108,12 @@
         worth.then_some(MovePlan { sets, copies, skew_before, skew_after })
     }
 
+    /// Mean over the sets of the heaviest rank's load, as a multiple of the mean rank's.
+    pub fn skew(sets: &[LayerMap], shares: &[Vec<f64>]) -> f64 {
+        let load = |(map, shares): (&LayerMap, &Vec<f64>)| maximum(&Work::new(map, shares).load);
+        sets.iter().zip(shares).map(load).sum::<f64>() / sets.len().max(1) as f64
+    }
+
     fn best_change(&self, w: &Work<'_>, set: usize, copied: &[usize]) -> Option<Change> {
         let base = smooth(&w.load);
         let heavy = heaviest(&w.load);
