Streams that other gateways sent since the last report are estimated by our own

Cause: between two reports four gateways filled the same free places, and the streams in flight exceeded the bound by a fifth.

--- a/crates/core/src/dispatch/member.rs
+++ b/crates/core/src/dispatch/member.rs
@@ -73,6 +73,8 @@
     pub prompt_waiting: u64,
     /// Own requests sent since the last report.
     pub sent_since: u32,
+    /// Own requests that have ended since the last report.
+    pub ended_since: u32,
     /// What its agent has reported.
     pub rank: Option<RankState>,
     /// Until when it is left alone.
@@ -92,6 +94,7 @@
             in_flight: 0,
             prompt_waiting: 0,
             sent_since: 0,
+            ended_since: 0,
             rank: None,
             ejected_until: None,
             latency_ms: Ewma::default(),
@@ -134,6 +137,19 @@
         }
     }
 
+    /// Requests there from `gateways` gateways, of which the others are taken to have sent and ended
+    /// as many since the last report as this one.
+    pub fn shared_load(&self, now: Instant, gateways: u32) -> f64 {
+        let gateways = f64::from(gateways);
+        match &self.rank {
+            Some(r) if !self.report_is_stale(now) => {
+                let since = f64::from(self.sent_since) - f64::from(self.ended_since);
+                (f64::from(r.running + r.queued) + gateways * since).max(f64::from(self.in_flight))
+            }
+            _ => gateways * f64::from(self.in_flight),
+        }
+    }
+
     fn report_is_stale(&self, now: Instant) -> bool {
         self.rank.as_ref().is_none_or(|r| now.saturating_duration_since(r.at) > REPORT_STALE)
     }
@@ -143,6 +159,7 @@
         if self.rank.as_ref().is_none_or(|r| r.at <= rank.at) {
             self.rank = Some(rank);
             self.sent_since = 0;
+            self.ended_since = 0;
         }
     }
 
@@ -164,6 +181,7 @@
     /// Notes how a request ended.
     pub fn finished(&mut self, now: Instant, ended: Ended) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.ended_since += 1;
         match ended {
             Ended::Unused => {}
             Ended::Whole => {
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -39,6 +39,8 @@
     pub cold_per_s: f64,
     /// Gateways that there may be.
     pub gateways: u32,
+    /// Gateways that are known to be there.
+    pub gateways_known: u32,
     /// Connections that one endpoint takes from all gateways together.
     pub connections_max: u32,
 }
@@ -53,6 +55,7 @@
             retry_slack: 80.0,
             cold_per_s: 5.0,
             gateways: 8,
+            gateways_known: 4,
             connections_max: 256,
         }
     }
@@ -395,13 +398,13 @@
     /// Whether all gateways together keep as many streams in flight as passes bear.
     fn is_full(&self, now: Instant) -> bool {
         let Some(limiter) = &self.cfg.limiter else { return false };
-        let (mut load, mut members) = (0, 0);
+        let (mut load, mut members) = (0.0, 0);
         // Ranks that get no new work still run every pass with the others.
         for m in self.members.values().filter(|m| m.known.beat.state != BeatState::Gone) {
-            load += m.load(now);
+            load += m.shared_load(now, self.cfg.gateways_known);
             members += 1;
         }
-        f64::from(load) >= limiter.per_endpoint * f64::from(members)
+        load >= limiter.per_endpoint * f64::from(members)
     }
 
     /// Expected cost of one more request at a member; lower is better.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -188,7 +188,7 @@
     }
 
     fn pool_settings(&self, service: &ServicePolicy) -> PoolSettings {
-        let gateways = self.beliefs().gateways.max(1) + GATEWAYS_UNKNOWN;
+        let gateways_known = self.beliefs().gateways.max(1);
         let limiter = service.engine.as_ref().map(|e| LimiterSettings {
             pass_target: self.cfg.pass_target,
             pass_fixed: e.step * e.stride,
@@ -206,7 +206,8 @@
             retry_span: self.cfg.retry_span,
             retry_slack: self.cfg.retry_slack,
             cold_per_s: service.cold_per_s * self.cfg.cold_factor + self.cfg.cold_slack,
-            gateways,
+            gateways: gateways_known + GATEWAYS_UNKNOWN,
+            gateways_known,
             connections_max: service.connections_max,
         }
     }
