--- a/crates/core/src/dispatch/member.rs
+++ b/crates/core/src/dispatch/member.rs
@@ -62,6 +62,11 @@
 /// A report older than this says nothing of the load any more.
 const REPORT_STALE: Duration = Duration::from_millis(1500);
 
+/// When an endpoint that says it is cold will be warm.
+fn cold_until(known: &Known) -> Option<Instant> {
+    (!known.beat.cold.is_zero()).then(|| known.heard + known.beat.cold)
+}
+
 /// One endpoint, as one gateway sees it.
 #[derive(Clone, Debug)]
 pub struct Member {
@@ -83,6 +88,7 @@
     failure: Ewma,
     failures: u32,
     ejections: u32,
+    cold_until: Option<Instant>,
     cold_sent: Window,
 }
 
@@ -90,6 +96,7 @@
     /// An endpoint that has just made itself known.
     pub fn new(known: Known) -> Self {
         Self {
+            cold_until: cold_until(&known),
             known,
             in_flight: 0,
             prompt_waiting: 0,
@@ -105,6 +112,12 @@
         }
     }
 
+    /// Takes its next heartbeat.
+    pub fn learn(&mut self, known: Known) {
+        self.cold_until = self.cold_until.max(cold_until(&known));
+        self.known = known;
+    }
+
     /// Where it listens.
     pub fn address(&self) -> SocketAddr {
         self.known.beat.address
@@ -123,7 +136,8 @@
 
     /// Whether one more request within the cold bound's span is allowed.
     pub fn bears_cold(&mut self, now: Instant, allowance: usize) -> bool {
-        let cold = now < self.known.cold_until() + COLD_SPAN;
+        // The bound's span slides, so it holds for one span more.
+        let cold = self.cold_until.is_some_and(|until| now < until + COLD_SPAN);
         !cold || self.cold_sent.count(now) < allowance
     }
 
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -177,7 +177,7 @@
         let key = self.by_id.get(id).copied();
         let same = |m: &&mut Member| m.known.beat.born_ms == known.beat.born_ms;
         if let Some(m) = key.and_then(|k| self.members.get_mut(&k)).filter(same) {
-            m.known = known.clone();
+            m.learn(known.clone());
             return;
         }
         self.next_key += 1;
--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -21,13 +21,6 @@
     pub heard: Instant,
 }
 
-impl Known {
-    /// When the endpoint stops being cold.
-    pub fn cold_until(&self) -> Instant {
-        self.heard + self.beat.cold
-    }
-}
-
 /// What a heartbeat changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
--- /dev/null
+++ b/crates/core/tests/dispatch.rs
@@ -0,0 +1,264 @@
+//! Load patterns of one gateway's pool, without network or clock.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use crocustally_core::Code;
+use crocustally_core::dispatch::Ask;
+use crocustally_core::dispatch::Ended;
+use crocustally_core::dispatch::LimiterSettings;
+use crocustally_core::dispatch::MemberKey;
+use crocustally_core::dispatch::Pool;
+use crocustally_core::dispatch::PoolSettings;
+use crocustally_core::dispatch::RankState;
+use crocustally_core::dispatch::Verdict;
+use crocustally_core::fleet::Beat;
+use crocustally_core::fleet::BeatState;
+use crocustally_core::fleet::Known;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn address(n: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, n], 80))
+}
+
+fn known(now: Instant, n: u8) -> Known {
+    let beat = Beat {
+        id: format!("e{n}"),
+        service: "s".to_owned(),
+        address: address(n),
+        domain: format!("d{}", n % 3),
+        born_ms: 1,
+        sequence: 1,
+        slots: 6,
+        state: BeatState::Ready,
+        cold: Duration::ZERO,
+    };
+    Known { beat, heard: now }
+}
+
+fn pool(now: Instant, cfg: PoolSettings, endpoints: u8) -> Pool {
+    let mut pool = Pool::new(cfg);
+    (0..endpoints).for_each(|n| pool.learn(&known(now, n)));
+    pool
+}
+
+fn ask(now: Instant) -> Ask {
+    Ask { rank: 0, prompt: 0, start_by: now + 150 * MS, tried: Default::default(), repeat: false }
+}
+
+fn sent(verdict: Verdict) -> MemberKey {
+    match verdict {
+        Verdict::Send(key) => key,
+        other => panic!("not sent: {other:?}"),
+    }
+}
+
+fn rank(at: Instant, running: u32, open: bool) -> RankState {
+    RankState { group: "g".to_owned(), epoch: 1, open, running, queued: 0, at }
+}
+
+#[test]
+fn heartbeats_do_not_make_a_warm_endpoint_cold() {
+    let mut now = Instant::now();
+    let mut pool = pool(now, PoolSettings::default(), 1);
+    for _ in 0..200 {
+        pool.learn(&known(now, 0));
+        let key = sent(pool.ask(now, &ask(now)));
+        now += 20 * MS;
+        pool.finished(now, key, Ended::Whole, 20 * MS);
+    }
+}
+
+#[test]
+fn a_cold_endpoint_gets_its_share_of_what_it_bears_and_no_more() {
+    let start = Instant::now();
+    let cfg = PoolSettings { cold_per_s: 44.0, gateways: 8, ..PoolSettings::default() };
+    let mut pool = pool(start, cfg, 0);
+    let mut cold = known(start, 0);
+    cold.beat.cold = 3000 * MS;
+    pool.learn(&cold);
+    let mut sent = Vec::new();
+    for step in 0..500_u32 {
+        let now = start + step * 10 * MS;
+        // A later heartbeat that counts the time down must not lift the bound early.
+        cold.heard = now;
+        cold.beat.cold = (3000 * MS).saturating_sub(now - start);
+        pool.learn(&cold);
+        if let Verdict::Send(key) = pool.ask(now, &Ask { start_by: now, ..ask(now) }) {
+            sent.push(now);
+            pool.finished(now, key, Ended::Whole, MS);
+        }
+    }
+    let warm = start + 3000 * MS;
+    for (i, at) in sent.iter().enumerate().filter(|(_, at)| **at < warm) {
+        let within = sent[i..].iter().filter(|o| **o - *at < 1000 * MS && **o < warm).count();
+        assert!(within <= 44 / 8, "{within} requests in a second");
+    }
+    assert!(sent.iter().any(|at| *at > warm + 1100 * MS), "warm endpoints take requests again");
+}
+
+#[test]
+fn repeats_stay_within_the_gateways_share_of_the_budget() {
+    let start = Instant::now();
+    let cfg = PoolSettings {
+        retry_ratio: 0.2,
+        retry_slack: 80.0,
+        gateways: 8,
+        ..PoolSettings::default()
+    };
+    let mut pool = pool(start, cfg, 3);
+    let mut repeats = 0;
+    for step in 0..100_u32 {
+        let now = start + step * 10 * MS;
+        let first = sent(pool.ask(now, &ask(now)));
+        pool.finished(now, first, Ended::Refused, MS);
+        let mut again = Ask { repeat: true, ..ask(now) };
+        again.tried.push(first);
+        match pool.ask(now, &again) {
+            Verdict::Send(key) => {
+                repeats += 1;
+                pool.finished(now, key, Ended::Whole, MS);
+            }
+            Verdict::Refuse(r) => assert_eq!(r.code, Code::RetryBudgetSpent),
+            Verdict::Wait(_) => panic!("endpoints are free"),
+        }
+    }
+    assert!(repeats <= 100 / 5 + 80 / 8, "{repeats} repeats of 100 requests");
+    assert!(repeats >= 25, "the budget is used: {repeats}");
+}
+
+#[test]
+fn a_burst_beyond_the_places_is_refused_at_once_with_turns_apart() {
+    let now = Instant::now();
+    let mut pool = pool(now, PoolSettings::default(), 1);
+    for _ in 0..6 {
+        sent(pool.ask(now, &ask(now)));
+    }
+    let mut waits = 0;
+    let mut turns = BTreeSet::new();
+    for _ in 0..20 {
+        match pool.ask(now, &ask(now)) {
+            Verdict::Wait(_) => waits += 1,
+            Verdict::Refuse(r) => {
+                assert_eq!(r.code, Code::Overloaded);
+                turns.insert(r.retry_after);
+            }
+            Verdict::Send(_) => panic!("all places are taken"),
+        }
+    }
+    // Six places of 1.5 s each come free every 250 ms: nobody can be served within 150 ms.
+    assert_eq!(waits, 0);
+    assert!(turns.len() >= 5, "callers come back one after another: {turns:?}");
+}
+
+#[test]
+fn a_place_that_becomes_free_goes_to_the_most_urgent_caller() {
+    let now = Instant::now();
+    let mut pool = pool(now, PoolSettings::default(), 1);
+    let keys: Vec<MemberKey> = (0..6).map(|_| sent(pool.ask(now, &ask(now)))).collect();
+    for key in &keys {
+        pool.finished(now, *key, Ended::Whole, 60 * MS);
+    }
+    (0..6).for_each(|_| drop(sent(pool.ask(now, &ask(now)))));
+    let Verdict::Wait(later) = pool.ask(now, &Ask { rank: 2, ..ask(now) }) else { panic!() };
+    let Verdict::Wait(urgent) = pool.ask(now, &Ask { rank: 0, ..ask(now) }) else { panic!() };
+    let grants = pool.finished(now + MS, keys[0], Ended::Whole, 60 * MS);
+    assert_eq!(grants.len(), 1);
+    assert_eq!(grants[0].0, urgent);
+    let grants = pool.finished(now + MS, keys[0], Ended::Whole, 60 * MS);
+    assert_eq!(grants[0].0, later);
+}
+
+#[test]
+fn an_endpoint_in_an_evacuated_domain_gets_nothing() {
+    let now = Instant::now();
+    let mut pool = pool(now, PoolSettings::default(), 3);
+    pool.evacuate(&BTreeSet::from(["d1".to_owned()]));
+    for _ in 0..12 {
+        let key = sent(pool.ask(now, &ask(now)));
+        assert_ne!(pool.member(key).map(|m| m.known.beat.domain.as_str()), Some("d1"));
+    }
+}
+
+#[test]
+fn slow_and_failing_endpoints_get_less_than_their_peers() {
+    let start = Instant::now();
+    let mut pool = pool(start, PoolSettings::default(), 3);
+    let mut counts = [0; 3];
+    for step in 0..300_u32 {
+        let now = start + step * 50 * MS;
+        let key = sent(pool.ask(now, &ask(now)));
+        let n = pool.member(key).map_or(0, |m| usize::from(m.address().port() == 0)).max(
+            pool.member(key)
+                .and_then(|m| m.known.beat.id.strip_prefix('e')?.parse().ok())
+                .unwrap_or(0),
+        );
+        counts[n] += 1;
+        let (took, ended) = match n {
+            0 => (300 * MS, Ended::Whole),
+            1 => (40 * MS, if counts[1] % 2 == 0 { Ended::Failed } else { Ended::Whole }),
+            _ => (60 * MS, Ended::Whole),
+        };
+        pool.began(now + took, key, 0, took);
+        pool.finished(now + took, key, ended, took);
+    }
+    assert!(counts[2] > counts[0] && counts[2] > counts[1], "{counts:?}");
+}
+
+#[test]
+fn nothing_is_sent_into_a_group_that_is_forming() {
+    let now = Instant::now();
+    let limiter = Some(LimiterSettings::default());
+    let mut pool = pool(now, PoolSettings { limiter, ..PoolSettings::default() }, 3);
+    (0..3).for_each(|n| pool.report(address(n), rank(now, 0, false)));
+    match pool.ask(now, &ask(now)) {
+        Verdict::Refuse(r) => assert_eq!(r.code, Code::NoEndpoint),
+        other => panic!("{other:?}"),
+    }
+    (0..3).for_each(|n| pool.report(address(n), rank(now + MS, 0, true)));
+    sent(pool.ask(now + 2 * MS, &ask(now)));
+}
+
+#[test]
+fn gateways_together_do_not_overfill_a_group_between_reports() {
+    let now = Instant::now();
+    let limiter =
+        Some(LimiterSettings { per_endpoint: 9.0, floor: 100.0, ..LimiterSettings::default() });
+    let cfg = PoolSettings { limiter, gateways_known: 4, ..PoolSettings::default() };
+    let mut pools: Vec<Pool> = (0..4).map(|_| pool(now, cfg.clone(), 12)).collect();
+    let mut total = 0;
+    for p in &mut pools {
+        for n in 0..12 {
+            let mut known = known(now, n);
+            known.beat.slots = 12;
+            known.beat.sequence = 2;
+            p.learn(&known);
+            p.report(address(n), rank(now, 7, true));
+        }
+        // Every gateway has more callers than there are places.
+        for _ in 0..100 {
+            total += u32::from(matches!(p.ask(now, &ask(now)), Verdict::Send(_)));
+        }
+    }
+    let (taken, bound) = (7 * 12 + total, 9 * 12);
+    assert!(taken <= bound + 4, "{taken} streams in flight, {bound} are borne");
+    assert!(taken >= bound - 4, "{taken} streams in flight, {bound} are borne");
+}
+
+#[test]
+fn a_new_incarnation_starts_without_the_old_ones_requests() {
+    let now = Instant::now();
+    let mut pool = pool(now, PoolSettings::default(), 1);
+    let old = sent(pool.ask(now, &ask(now)));
+    let mut reborn = known(now, 0);
+    reborn.beat.born_ms = 2;
+    pool.learn(&reborn);
+    let new = sent(pool.ask(now, &ask(now)));
+    assert_ne!(old, new);
+    assert_eq!(pool.member(new).map(|m| m.in_flight), Some(1));
+    pool.finished(now, old, Ended::Broken, MS);
+    assert!(pool.member(old).is_none());
+}
