--- /dev/null
+++ b/crates/core/tests/moves.rs
@@ -0,0 +1,127 @@
+//! Shifts of expert popularity: how even few copies make a group again.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crocustally_core::experts::Demand;
+use crocustally_core::experts::LayerMap;
+use crocustally_core::experts::MovePlanner;
+use crocustally_core::experts::MoveSettings;
+use crocustally_core::experts::RankId;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const RANKS: usize = 12;
+const EXPERTS: usize = 96;
+const SETS: usize = 3;
+
+fn planner(new_per_rank: usize) -> MovePlanner {
+    MovePlanner { cfg: MoveSettings { places: 11, new_per_set: 4, new_per_rank, gain_min: 0.02 } }
+}
+
+/// Popularity by rank in a random order.
+fn shares(rng: &mut ChaCha8Rng) -> Vec<f64> {
+    let mut weights: Vec<f64> = (1..=EXPERTS).map(|k| (k as f64).powf(-0.9)).collect();
+    for i in 0..EXPERTS {
+        weights.swap(i, rng.random_range(i..EXPERTS));
+    }
+    let total: f64 = weights.iter().sum();
+    weights.iter().map(|w| w / total).collect()
+}
+
+/// Half of what is liked changes.
+fn shift(rng: &mut ChaCha8Rng, shares: &mut [f64]) {
+    for _ in 0..EXPERTS / 4 {
+        shares.swap(rng.random_range(0..EXPERTS), rng.random_range(0..EXPERTS));
+    }
+}
+
+fn start() -> Vec<LayerMap> {
+    vec![LayerMap::in_turn(RANKS, EXPERTS, EXPERTS / RANKS); SETS]
+}
+
+#[test]
+fn a_shift_is_evened_out_by_three_plans_of_one_copy_a_rank() {
+    for seed in 0..20 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut demand: Vec<Vec<f64>> = (0..SETS).map(|_| shares(&mut rng)).collect();
+        let mut maps = start();
+        for _ in 0..6 {
+            if let Some(plan) = planner(1).plan(&maps, &demand) {
+                maps = plan.sets;
+            }
+        }
+        demand.iter_mut().for_each(|s| shift(&mut rng, s));
+        let before = MovePlanner::skew(&maps, &demand);
+        for _ in 0..3 {
+            if let Some(plan) = planner(1).plan(&maps, &demand) {
+                maps = plan.sets;
+            }
+        }
+        let after = MovePlanner::skew(&maps, &demand);
+        assert!(after < 1.2, "seed {seed}: skew {before:.2} to {after:.2}");
+    }
+}
+
+#[test]
+fn plans_keep_every_bound() {
+    for seed in 0..20 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut maps = start();
+        for _ in 0..10 {
+            let demand: Vec<Vec<f64>> = (0..SETS).map(|_| shares(&mut rng)).collect();
+            let Some(plan) = planner(2).plan(&maps, &demand) else { continue };
+            let mut copies = 0;
+            for rank in 0..RANKS {
+                let new = |(before, after): (&LayerMap, &LayerMap)| {
+                    let held = &after.ranks[rank];
+                    held.iter().filter(|e| !before.holds(RankId(rank as u16), **e)).count()
+                };
+                let new: usize = maps.iter().zip(&plan.sets).map(new).sum();
+                assert!(new <= 2, "rank {rank} copies {new}");
+                copies += new;
+            }
+            assert_eq!(copies, plan.copies);
+            assert!(plan.sets.iter().all(|m| m.is_valid(11)));
+            assert!(plan.skew_after < plan.skew_before);
+            assert!((MovePlanner::skew(&plan.sets, &demand) - plan.skew_after).abs() < 1e-9);
+            maps = plan.sets;
+        }
+    }
+}
+
+#[test]
+fn an_even_group_is_left_alone() {
+    let even = vec![vec![1.0 / EXPERTS as f64; EXPERTS]; SETS];
+    assert!(planner(2).plan(&start(), &even).is_none());
+}
+
+#[test]
+fn demand_follows_a_shift_within_a_few_passes() {
+    let start = Instant::now();
+    let mut demand = Demand::new(1, 4, 2);
+    let mut counters = [vec![0_u64; 4], vec![0; 4]];
+    for pass in 0..30_u64 {
+        let liked = if pass < 20 { 0 } else { 3 };
+        let now = start + Duration::from_millis(70 * pass);
+        for (rank, c) in counters.iter_mut().enumerate() {
+            c[liked] += 900;
+            c[1] += 100;
+            demand.count(now, rank, c);
+        }
+    }
+    let shares = demand.shares(0).unwrap();
+    assert!(shares[3] > 0.85 && shares[0] < 0.05, "{shares:?}");
+}
+
+#[test]
+fn counters_of_a_restarted_rank_count_from_zero() {
+    let start = Instant::now();
+    let mut demand = Demand::new(1, 2, 1);
+    demand.count(start, 0, &[1_000_000, 0]);
+    demand.count(start + Duration::from_millis(90), 0, &[0, 5_000]);
+    let shares = demand.shares(0).unwrap();
+    assert!(shares[1] > 0.9, "{shares:?}");
+}
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -43,11 +43,6 @@
         self.last
     }
 
-    /// Drops the beginning of an event that never became whole.
-    pub fn drop_partial(&mut self) {
-        self.buf.clear();
-    }
-
     /// What is left when the stream has ended.
     pub fn take_rest(&mut self) -> Bytes {
         self.buf.split().freeze()
