Resume at another endpoint first; endpoints of unknown latency are tried

Found by the new tests over loopback (platform/tests/serve.rs), both seen failing first: a broken stream was resumed at the endpoint that had broken it, and an endpoint that had been out of use was never tried again.

--- a/crates/core/src/dispatch/member.rs
+++ b/crates/core/src/dispatch/member.rs
@@ -62,6 +62,10 @@
 /// A report older than this says nothing of the load any more.
 const REPORT_STALE: Duration = Duration::from_millis(1500);
 
+fn is_recent(now: Instant, mean: &Ewma) -> bool {
+    mean.last().is_some_and(|at| now.saturating_duration_since(at) < MEMORY)
+}
+
 /// When an endpoint that says it is cold will be warm.
 fn cold_until(known: &Known) -> Option<Instant> {
     (!known.beat.cold.is_zero()).then(|| known.heard + known.beat.cold)
@@ -188,6 +192,9 @@
     /// Notes that an answer has begun after `took`.
     pub fn began(&mut self, now: Instant, prompt: u32, took: Duration) {
         self.prompt_waiting = self.prompt_waiting.saturating_sub(u64::from(prompt));
+        if !is_recent(now, &self.latency_ms) {
+            self.latency_ms = Ewma::default();
+        }
         self.latency_ms.add(now, took.as_secs_f64() * 1e3, MEMORY);
         self.failures = 0;
     }
@@ -224,13 +231,14 @@
         self.failures = 0;
     }
 
-    /// Mean time to the first byte in milliseconds, if known.
-    pub fn latency_ms(&self) -> Option<f64> {
-        self.latency_ms.get()
+    /// Mean time to the first byte in milliseconds, if known of late: an endpoint that was slow
+    /// once must be tried again.
+    pub fn latency_ms(&self, now: Instant) -> Option<f64> {
+        self.latency_ms.get().filter(|_| is_recent(now, &self.latency_ms))
     }
 
     /// Share of requests that failed lately.
-    pub fn failure_share(&self) -> f64 {
-        self.failure.get().unwrap_or(0.0)
+    pub fn failure_share(&self, now: Instant) -> f64 {
+        self.failure.get().filter(|_| is_recent(now, &self.failure)).unwrap_or(0.0)
     }
 }
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -106,8 +106,6 @@
 const FAILURE_WEIGHT: f64 = 8.0;
 /// Prompt tokens that count like one more request: about what one pass reads.
 const PROMPT_PER_REQUEST: f64 = 1024.0;
-/// Latency that is assumed of a plain endpoint before its first answer, in milliseconds.
-const LATENCY_UNKNOWN_MS: f64 = 40.0;
 /// How long a request holds its place before anything is known.
 const HOLD_UNKNOWN: Duration = Duration::from_millis(1500);
 /// Memory of the mean time that a place is held.
@@ -414,11 +412,18 @@
             let reading = (m.prompt_waiting + u64::from(prompt)) as f64 / PROMPT_PER_REQUEST;
             return f64::from(m.load(now)) + reading + (far - 1.0);
         }
-        let latency = m.latency_ms().unwrap_or(LATENCY_UNKNOWN_MS);
-        let failing = 1.0 + FAILURE_WEIGHT * m.failure_share();
+        let latency = m.latency_ms(now).unwrap_or_else(|| self.least_latency_ms(now));
+        let failing = 1.0 + FAILURE_WEIGHT * m.failure_share(now);
         (f64::from(m.in_flight) + 1.0) * latency * failing * far
     }
 
+    /// Latency that is assumed of an endpoint of which none is known: the best one, so that it is
+    /// tried.
+    fn least_latency_ms(&self, now: Instant) -> f64 {
+        let known = self.members.values().filter_map(|m| m.latency_ms(now));
+        known.min_by(f64::total_cmp).unwrap_or(1.0)
+    }
+
     /// Time until the `nth` place from now becomes free.
     fn expected_wait(&self, now: Instant, nth: usize) -> Duration {
         let hold = self.hold_ms.get().map_or(HOLD_UNKNOWN.as_secs_f64(), |ms| ms / 1e3);
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -262,3 +262,23 @@
     pool.finished(now, old, Ended::Broken, MS);
     assert!(pool.member(old).is_none());
 }
+
+#[test]
+fn an_endpoint_that_was_slow_once_is_tried_again() {
+    let start = Instant::now();
+    let mut pool = pool(start, PoolSettings::default(), 2);
+    let mut counts = [0; 2];
+    for step in 0..600_u32 {
+        let now = start + step * 50 * MS;
+        let key = sent(pool.ask(now, &ask(now)));
+        let slow = pool.member(key).is_some_and(|m| m.known.beat.id == "e0");
+        // One endpoint is slow for the first five seconds.
+        let took = if slow && step < 100 { 400 * MS } else { 40 * MS };
+        if step > 300 {
+            counts[usize::from(slow)] += 1;
+        }
+        pool.began(now + took, key, 0, took);
+        pool.finished(now + took, key, Ended::Whole, took);
+    }
+    assert!(counts[1] > 60, "the recovered endpoint got {} of 299", counts[1]);
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -258,15 +258,17 @@
             if self.ex.now().saturating_duration_since(lost_at) > RESUME_TIME {
                 break;
             }
-            // Endpoints that refuse while their group forms again may serve a moment later.
-            self.ex.tried.clear();
             match open(&mut self.ex, last, true).await {
                 Ok(run) => {
                     self.run = Some(run);
                     return true;
                 }
                 Err(NotOpened::Final(_)) => break,
-                Err(NotOpened::Refused(_) | NotOpened::Broken) => sleep(RESUME_PAUSE).await,
+                Err(NotOpened::Refused(_) | NotOpened::Broken) => {
+                    // Endpoints that refuse while their group forms again may serve a moment later.
+                    self.ex.tried.clear();
+                    sleep(RESUME_PAUSE).await;
+                }
             }
         }
         self.ex.trace.code = Some(Code::AnswerBroken);
