--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -162,7 +162,9 @@
     for key in &keys {
         pool.finished(now, *key, Ended::Whole, 60 * MS);
     }
-    (0..6).for_each(|_| drop(sent(pool.ask(now, &ask(now)))));
+    for _ in 0..6 {
+        sent(pool.ask(now, &ask(now)));
+    }
     let Verdict::Wait(later) = pool.ask(now, &Ask { rank: 2, ..ask(now) }) else { panic!() };
     let Verdict::Wait(urgent) = pool.ask(now, &Ask { rank: 0, ..ask(now) }) else { panic!() };
     let grants = pool.finished(now + MS, keys[0], Ended::Whole, 60 * MS);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -220,6 +220,7 @@
                 connect_time: Duration::from_millis(400),
                 idle_time: Duration::from_secs(30),
                 silence: Duration::from_secs(3),
+                abandon: true,
             };
             Arc::new(HttpClient::with_settings(&self.rt, address, cfg))
         };
--- a/crates/net/src/connect.rs
+++ b/crates/net/src/connect.rs
@@ -55,3 +55,10 @@
         log::debug!("socket options refused: {e}");
     }
 }
+
+/// Closing the connection resets it, and discards what the other end has not got yet.
+pub(crate) fn set_abandon(stream: &TcpStream) {
+    if let Err(e) = sockopt::set_socket_linger(stream, Some(Duration::ZERO)) {
+        log::debug!("socket option refused: {e}");
+    }
+}
--- a/crates/net/src/http_client.rs
+++ b/crates/net/src/http_client.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_executor::Task;
 use async_net::TcpStream;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -17,6 +18,7 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::Runtime;
+use crate::connect::set_abandon;
 use crate::connect::set_silence;
 use crate::timeout;
 
@@ -29,6 +31,9 @@
     pub idle_time: Duration,
     /// A connection on which nothing is acknowledged for this long is given up.
     pub silence: Duration,
+    /// Whether closing a connection discards what has not arrived yet, so that a request which
+    /// nobody waits for is not delivered once a cut path is whole again.
+    pub abandon: bool,
 }
 
 impl Default for HttpClientSettings {
@@ -37,6 +42,7 @@
             connect_time: Duration::from_millis(1000),
             idle_time: Duration::from_secs(60),
             silence: Duration::from_secs(3),
+            abandon: false,
         }
     }
 }
@@ -52,12 +58,17 @@
     Broken(hyper::Error),
 }
 
-/// A connection with an answer that is still to be read.
-pub type HttpConnection = SendRequest<Full<Bytes>>;
+/// A connection with an answer that is still to be read; dropping it closes the connection.
+#[derive(Debug)]
+pub struct HttpConnection {
+    tx: SendRequest<Full<Bytes>>,
+    /// Moves the bytes; without it the library goes on sending what nobody waits for.
+    _io: Task<()>,
+}
 
 #[derive(Debug)]
 struct Idle {
-    tx: HttpConnection,
+    conn: HttpConnection,
     until: Instant,
 }
 
@@ -92,9 +103,9 @@
     ) -> Result<(Response<Incoming>, HttpConnection), HttpError> {
         let mut req = req;
         if !fresh {
-            while let Some(mut tx) = self.take_idle() {
-                match tx.try_send_request(req).await {
-                    Ok(response) => return Ok((response, tx)),
+            while let Some(mut conn) = self.take_idle() {
+                match conn.tx.try_send_request(req).await {
+                    Ok(response) => return Ok((response, conn)),
                     Err(mut e) => match e.take_message() {
                         // The connection had closed before anything of the request was written.
                         Some(unsent) => req = unsent,
@@ -103,9 +114,9 @@
                 }
             }
         }
-        let mut tx = self.connect().await?;
-        match tx.try_send_request(req).await {
-            Ok(response) => Ok((response, tx)),
+        let mut conn = self.connect().await?;
+        match conn.tx.try_send_request(req).await {
+            Ok(response) => Ok((response, conn)),
             Err(mut e) => match e.take_message() {
                 Some(_) => Err(HttpError::NotSent),
                 None => Err(HttpError::Broken(e.into_error())),
@@ -114,25 +125,25 @@
     }
 
     /// Keeps a connection for later, once its answer has been read to the end.
-    pub fn keep(&self, tx: HttpConnection) {
-        self.keep_for(tx, self.cfg.idle_time);
+    pub fn keep(&self, conn: HttpConnection) {
+        self.keep_for(conn, self.cfg.idle_time);
     }
 
     /// Keeps a connection for at most `time`.
-    pub fn keep_for(&self, tx: HttpConnection, time: Duration) {
-        if tx.is_closed() {
+    pub fn keep_for(&self, conn: HttpConnection, time: Duration) {
+        if conn.tx.is_closed() {
             return;
         }
         let until = Instant::now() + time.min(self.cfg.idle_time);
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner).push(Idle { tx, until });
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).push(Idle { conn, until });
     }
 
     fn take_idle(&self) -> Option<HttpConnection> {
         let now = Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|c| c.until > now && !c.tx.is_closed());
-        let ready = idle.iter().rposition(|c| c.tx.is_ready())?;
-        Some(idle.remove(ready).tx)
+        idle.retain(|c| c.until > now && !c.conn.tx.is_closed());
+        let ready = idle.iter().rposition(|c| c.conn.tx.is_ready())?;
+        Some(idle.remove(ready).conn)
     }
 
     async fn connect(&self) -> Result<HttpConnection, HttpError> {
@@ -140,12 +151,16 @@
         let stream = stream.and_then(Result::ok).ok_or(HttpError::Unreachable)?;
         let _ = stream.set_nodelay(true);
         set_silence(&stream, self.cfg.silence);
+        if self.cfg.abandon {
+            set_abandon(&stream);
+        }
         let (mut tx, conn) =
             http1::handshake(FuturesIo::new(stream)).await.map_err(|_| HttpError::Unreachable)?;
-        self.rt.spawn(async move {
+        let io = self.rt.spawn_task(async move {
+            // How a connection ends shows in the request that it carried.
             let _ = conn.await;
         });
         tx.ready().await.map_err(|_| HttpError::Unreachable)?;
-        Ok(tx)
+        Ok(HttpConnection { tx, _io: io })
     }
 }
