--- a/crates/bench/src/chaos.rs
+++ b/crates/bench/src/chaos.rs
@@ -31,6 +31,8 @@
 const COLD_CAPACITY: usize = 8;
 /// Endpoints that one crashing request may take down.
 const CRASHER_MAX: u64 = 2;
+/// Time between a kill and its note here.
+const KILL_SHOWS: Duration = Duration::from_millis(100);
 /// How long a fault lasts at most, in milliseconds.
 const FAULT_MS: std::ops::Range<u64> = 300..2500;
 
@@ -139,11 +141,15 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut faults: BTreeMap<&str, u32> = BTreeMap::new();
     let mut crasher_max = 0;
+    let mut kills: Vec<(usize, Instant)> = Vec::new();
     let until = Instant::now() + Duration::from_secs_f64(seconds);
     while Instant::now() < until {
         let fault = Fault::draw(&mut rng, &fleet);
         *faults.entry(fault.name()).or_default() += 1;
         fault.begin(&mut fleet);
+        if let Fault::EntryKilled(entry) = fault {
+            kills.push((entry, Instant::now()));
+        }
         if let Fault::Crasher(entry) = fault {
             let n = rng.random::<u32>();
             crasher_max = crasher_max.max(crash(&fleet, entry, n).await);
@@ -155,7 +161,7 @@
         sleep(Duration::from_millis(rng.random_range(FAULT_MS))).await;
     }
     let sent = load.finish().await;
-    judge(&fleet, seed, &sent, &faults, crasher_max)
+    judge(&fleet, seed, &sent, &faults, crasher_max, &kills)
 }
 
 /// Sends a crashing request through each entry in turn; answers the endpoints that it took down.
@@ -177,13 +183,21 @@
     sent: &[Sent],
     faults: &BTreeMap<&str, u32>,
     crasher_max: u64,
+    kills: &[(usize, Instant)],
 ) -> (Value, bool) {
     let count = |f: &dyn Fn(&Sent) -> bool| sent.iter().filter(|s| f(s)).count();
     let runs = |s: &Sent| s.key.as_ref().map_or(0, |k| fleet.stand.journal.runs(k));
     let double_runs = fleet.stand.journal.run_twice();
     let ran_after_refusal = count(&|s| !s.whole && s.ran == "no" && runs(s) > 0);
     let whole_without_run = count(&|s| s.whole && s.key.is_some() && runs(s) != 1);
+    // An answer that its own entry was killed under cannot be whole on that connection; every other
+    // one must be.
+    let killed = |(entry, from, to): &(usize, Instant, Instant)| {
+        kills.iter().any(|(e, at)| e == entry && *at >= *from && *at <= *to + KILL_SHOWS)
+    };
+    let broken_alive = sent.iter().flat_map(|s| &s.cuts).filter(|c| !killed(c)).count();
     let held = double_runs == 0
+        && broken_alive == 0
         && ran_after_refusal == 0
         && whole_without_run == 0
         && crasher_max <= CRASHER_MAX;
@@ -201,6 +215,7 @@
         "ran_after_refusal": ran_after_refusal,
         "whole_without_run": whole_without_run,
         "broken_answers": count(&|s| s.cut),
+        "broken_by_living_entries": broken_alive,
         "endpoints_lost_per_crasher_max": crasher_max,
         "codes": codes,
         "faults": faults,
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -58,6 +58,8 @@
     pub(crate) code: u32,
     /// Whether an answer was broken off.
     pub(crate) cut: bool,
+    /// Entries that broke an answer off, and when the answer was asked for and had ended.
+    pub(crate) cuts: Vec<(usize, Instant, Instant)>,
     /// Sendings after the first.
     pub(crate) repeats: usize,
     /// From the first sending to the first byte of the last answer.
@@ -160,6 +162,7 @@
             ran: String::new(),
             code: 0,
             cut: false,
+            cuts: Vec::new(),
             repeats: 0,
             first: Duration::ZERO,
         };
@@ -169,13 +172,17 @@
                 sent.repeats += 1;
             }
             let sending = Instant::now();
-            let answer = self.exchange((n + i) % self.inner.entries.len(), &req).await;
+            let entry = (n + i) % self.inner.entries.len();
+            let answer = self.exchange(entry, &req).await;
             sent.whole = match sent.key {
                 Some(_) => answer.status == 200 && answer.complete,
                 None => answer.is_whole_stream(0, tokens),
             };
             sent.first = sending.duration_since(begun) + answer.first;
-            sent.cut |= answer.status == 200 && !sent.whole;
+            if answer.status == 200 && !sent.whole {
+                sent.cut = true;
+                sent.cuts.push((entry, sending, Instant::now()));
+            }
             sent.code = answer.code;
             sent.ran = answer.ran;
             if sent.whole {
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod limiter;
 mod member;
 mod pool;
+mod suspicion;
 mod waiting;
 mod window;
 
@@ -24,5 +25,7 @@
 pub use pool::PoolSettings;
 pub use pool::Refusal;
 pub use pool::Verdict;
+pub use suspicion::CRASHES_MAX;
+pub use suspicion::Suspicion;
 pub use waiting::Ticket;
 pub use window::Window;
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use crocustally_core::Code;
+use crocustally_core::Digest;
 use crocustally_core::dispatch::Ask;
 use crocustally_core::dispatch::Ended;
 use crocustally_core::dispatch::LimiterSettings;
@@ -13,6 +14,7 @@
 use crocustally_core::dispatch::Pool;
 use crocustally_core::dispatch::PoolSettings;
 use crocustally_core::dispatch::RankState;
+use crocustally_core::dispatch::Suspicion;
 use crocustally_core::dispatch::Verdict;
 use crocustally_core::fleet::Beat;
 use crocustally_core::fleet::BeatState;
@@ -284,3 +286,20 @@
     }
     assert!(counts[1] > 60, "the recovered endpoint got {} of 299", counts[1]);
 }
+
+#[test]
+fn a_request_that_takes_three_endpoints_down_is_refused() {
+    let now = Instant::now();
+    let mut suspicion = Suspicion::default();
+    let (bad, other) = (Digest::of(&[b"bad"]), Digest::of(&[b"other"]));
+    for (n, endpoint) in ["e1", "e2", "e2", "e3"].iter().enumerate() {
+        assert!(!suspicion.refuses(bad), "after {n} deaths");
+        suspicion.death(now, bad, endpoint);
+        suspicion.death(now, other, "e1");
+    }
+    assert!(suspicion.refuses(bad));
+    assert!(!suspicion.refuses(other));
+    // A caller that comes back much later is tried again.
+    suspicion.death(now + Duration::from_secs(121), other, "e9");
+    assert!(!suspicion.refuses(bad));
+}
--- a/crates/core/tests/moves.rs
+++ b/crates/core/tests/moves.rs
@@ -121,7 +121,48 @@
     let start = Instant::now();
     let mut demand = Demand::new(1, 2, 1);
     demand.count(start, 0, &[1_000_000, 0]);
-    demand.count(start + Duration::from_millis(90), 0, &[0, 5_000]);
+    for n in 1..5 {
+        demand.count(start + Duration::from_millis(90 * n), 0, &[0, 5_000 * n]);
+    }
     let shares = demand.shares(0).unwrap();
     assert!(shares[1] > 0.9, "{shares:?}");
 }
+
+#[test]
+fn one_gathering_after_a_shift_shows_the_new_popularity_alone() {
+    let start = Instant::now();
+    let mut demand = Demand::new(1, 4, 1);
+    let mut counters = vec![0_u64; 4];
+    let mut at = Duration::ZERO;
+    let mut pass = |demand: &mut Demand, liked: usize| {
+        at += Duration::from_millis(60);
+        counters[liked] += 900;
+        counters[1] += 100;
+        demand.count(start + at, 0, &counters);
+    };
+    (0..30).for_each(|_| pass(&mut demand, 0));
+    // One gathering may still be mixed, the next one is not.
+    (0..5).for_each(|_| pass(&mut demand, 3));
+    let shares = demand.shares(0).unwrap();
+    assert!(shares[3] > 0.85, "{shares:?}");
+}
+
+#[test]
+fn the_noise_of_single_passes_is_averaged() {
+    let mut rng = ChaCha8Rng::seed_from_u64(4);
+    let start = Instant::now();
+    let mut demand = Demand::new(1, EXPERTS, 1);
+    let liked = shares(&mut rng);
+    let mut counters = vec![0_u64; EXPERTS];
+    for pass in 0..40_u64 {
+        for (c, share) in counters.iter_mut().zip(&liked) {
+            let noise = 1.0 + 0.2 * (rng.random::<f64>() - 0.5);
+            *c += (share * 16_000.0 * noise) as u64;
+        }
+        demand.count(start + Duration::from_millis(70 * pass), 0, &counters);
+    }
+    let measured = demand.shares(0).unwrap();
+    for (m, l) in measured.iter().zip(&liked) {
+        assert!((m - l).abs() < 0.08 * l + 0.001, "{m} for {l}");
+    }
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use crocustally_core::Code;
+use crocustally_core::Digest;
 use crocustally_core::dispatch::Ask;
 use crocustally_core::dispatch::Ended;
 use crocustally_core::dispatch::MemberKey;
@@ -21,6 +22,7 @@
 use crate::RequestHead;
 use crate::places::Place;
 use crate::places::Places;
+use crate::suspects;
 
 /// Sends beyond a route's attempts that endpoints may refuse before a request is refused as a whole.
 const REFUSED_SENDS: usize = 2;
@@ -44,6 +46,8 @@
     pub(crate) places: Arc<Places>,
     pub(crate) workspace: Option<String>,
     pub(crate) rank: u8,
+    /// What the caller sends again when it repeats the request.
+    pub(crate) digest: Digest,
     pub(crate) arrived: Instant,
     /// When the caller must have its answer.
     pub(crate) end: Instant,
@@ -112,6 +116,9 @@
     pub(crate) fn finish(&mut self, place: Place, ended: Ended) {
         let took = self.now().saturating_duration_since(place.sent);
         self.trace.tries.push((place.endpoint.clone(), took, ended));
+        if ended == Ended::Broken {
+            suspects::look(&self.gateway, self.digest, &place);
+        }
         self.tried.push(place.key);
         place.finish(ended);
     }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crocustally_core::Digest;
 use crocustally_core::dispatch::RankState;
 use crocustally_core::fleet::Beat;
 use crocustally_core::fleet::BeatState;
@@ -19,6 +20,7 @@
 use crocustally_wire::control_client::ControlClient;
 
 use crate::Gateway;
+use crate::suspects;
 
 /// Pause before a control instance that cannot be followed is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
@@ -44,6 +46,7 @@
         if let Ok(updates) = client.follow(req).await {
             let mut updates = updates.into_inner();
             connected = true;
+            gateway.beliefs().feeds.insert(address, client.clone());
             log::info!(control = control.as_str(); "control instance followed");
             while let Ok(Some(update)) = updates.message().await {
                 take(&gateway, &client, update);
@@ -94,6 +97,11 @@
             gateway.configure_pools();
         }
     }
+    for suspect in &update.suspects {
+        if let Ok(digest) = Digest::try_from(&suspect.digest[..]) {
+            suspects::note(gateway, digest, &suspect.endpoint);
+        }
+    }
     let controls: Vec<SocketAddr> =
         update.controls.iter().filter_map(|text| text.parse().ok()).collect();
     follow_all(gateway, &controls);
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use crocustally_core::Code;
+use crocustally_core::Digest;
 use crocustally_core::traffic::Route;
 use crocustally_core::traffic::TrafficPolicy;
 use crocustally_net::ResponseBody;
@@ -88,6 +89,11 @@
         admitted.map_err(|code| refuse(Some(&meta.id), code, None))?;
     let limit = policy.limits().body_bytes;
     let body = read_body(body, limit).await.map_err(|code| refuse(Some(&meta.id), code, None))?;
+    let caller = meta.key.as_deref().unwrap_or_default().as_bytes();
+    let digest = Digest::of(&[head.uri.path().as_bytes(), caller, &body]);
+    if gateway.beliefs().suspicion.refuses(digest) {
+        return Err(refuse(Some(&meta.id), Code::Quarantined, None));
+    }
     let service = route.target(rand::random::<u64>()).and_then(|key| policy.service(key));
     let Some(service) = service.map(|s| s.name.clone()) else {
         return Err(refuse(Some(&meta.id), Code::NoEndpoint, None));
@@ -118,6 +124,7 @@
         gateway: gateway.clone(),
         end: arrived + patience,
         places,
+        digest,
         head,
         meta,
         body,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,9 +12,11 @@
 
 use crocustally_core::dispatch::LimiterSettings;
 use crocustally_core::dispatch::PoolSettings;
+use crocustally_core::dispatch::Suspicion;
 use crocustally_core::fleet::Registry;
 use crocustally_core::traffic::ServicePolicy;
 use crocustally_core::traffic::TrafficPolicy;
+use crocustally_net::Channel;
 use crocustally_net::Clock;
 use crocustally_net::HttpClient;
 use crocustally_net::HttpClientSettings;
@@ -22,6 +24,7 @@
 use crocustally_net::Runtime;
 use crocustally_net::Shutdown;
 use crocustally_net::serve_http;
+use crocustally_wire::control_client::ControlClient;
 
 use crate::GatewayDialect;
 use crate::GatewaySettings;
@@ -51,6 +54,9 @@
     pub(crate) applied: u64,
     pub(crate) evacuated: BTreeSet<String>,
     pub(crate) gateways: u32,
+    pub(crate) suspicion: Suspicion,
+    /// Clients of the control instances that are followed.
+    pub(crate) feeds: HashMap<SocketAddr, ControlClient<Channel>>,
     /// Control instances that are followed.
     pub(crate) followed: BTreeSet<SocketAddr>,
     /// Newest version of the policy that any control instance has told of.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod places;
 mod settings;
 mod stream;
+mod suspects;
 mod upstream;
 mod whole;
 
--- a/crates/net/src/http_client.rs
+++ b/crates/net/src/http_client.rs
@@ -1,5 +1,6 @@
 //! [`HttpClient`]: HTTP/1.1 to one engine or service.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -124,6 +125,12 @@
         }
     }
 
+    /// Whether the other end refuses new connections, so that nobody listens there any more.
+    pub async fn refuses(&self) -> bool {
+        let connected = timeout(self.cfg.connect_time, TcpStream::connect(self.address)).await;
+        connected.is_some_and(|c| c.is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused))
+    }
+
     /// Keeps a connection for later, once its answer has been read to the end.
     pub fn keep(&self, conn: HttpConnection) {
         self.keep_for(conn, self.cfg.idle_time);
