--- a/crates/core/src/dispatch/limiter.rs
+++ b/crates/core/src/dispatch/limiter.rs
@@ -23,7 +23,7 @@
 impl Default for LimiterSettings {
     fn default() -> Self {
         Self {
-            pass_target: Duration::from_millis(100),
+            pass_target: Duration::from_millis(140),
             pass_fixed: Duration::from_millis(20),
             floor: 6.0,
             ceiling: 144.0,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -91,7 +91,7 @@
 }
 
 fn default_pass_bound() -> f64 {
-    100.0
+    92.0
 }
 
 fn default_threads() -> usize {
