--- a/crates/core/src/traffic/policy.rs
+++ b/crates/core/src/traffic/policy.rs
@@ -94,7 +94,7 @@
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         let of_host = self.by_host.get(host)?;
         let ends = path.bytes().enumerate().filter(|(_, b)| *b == b'/').map(|(i, _)| i + 1);
-        let found = ends.filter_map(|end| of_host.get(&path[..end])).last()?;
+        let found = ends.filter_map(|end| of_host.get(&path[..end])).next_back()?;
         self.routes.get(*found)
     }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use crocustally_core::Code;
 use crocustally_core::Digest;
+use crocustally_core::Ran;
 use crocustally_core::dispatch::Ask;
 use crocustally_core::dispatch::Ended;
 use crocustally_core::dispatch::MemberKey;
@@ -178,9 +179,10 @@
         let took = now.saturating_duration_since(self.arrived);
         let ms = |d: Duration| d.as_millis() as u64;
         let outcome = match (self.code, self.complete) {
-            (Some(_), _) => "refused",
             (None, true) => "answered",
-            (None, false) => "broken off",
+            (Some(code), _) if code.ran() == Ran::No => "refused",
+            (Some(_), _) if self.events == 0 => "failed",
+            _ => "broken off",
         };
         metrics::counter!("crocustally_requests", "route" => self.route.clone(), "outcome" => outcome)
             .increment(1);
--- a/crates/rank/src/agent.rs
+++ b/crates/rank/src/agent.rs
@@ -64,8 +64,15 @@
     state: EngineState,
     counters: Vec<u64>,
     counted: Option<Instant>,
-    /// Experts under the map of `(epoch, version)`.
-    experts: Option<((u64, u64), Vec<Vec<ExpertId>>)>,
+    experts: Option<HeldExperts>,
+}
+
+/// Experts of the rank, set by set, under one map.
+#[derive(Clone, Debug)]
+struct HeldExperts {
+    /// Epoch of the group and version of the map.
+    map: (u64, u64),
+    sets: Vec<Vec<ExpertId>>,
 }
 
 impl RankAgent {
@@ -177,13 +184,13 @@
         }
         let view = &reading.state.view;
         let key = (view.epoch, view.map);
-        if reading.experts.as_ref().is_none_or(|(k, _)| *k != key) {
+        if reading.experts.as_ref().is_none_or(|held| held.map != key) {
             reading.experts = None;
             if let Some(body) = self.get(engine, self.dialect.experts_path()).await
-                && let Some((map, experts)) = self.dialect.experts(&body)
-                && map == key.1
+                && let Some((version, sets)) = self.dialect.experts(&body)
+                && version == key.1
             {
-                reading.experts = Some((key, experts));
+                reading.experts = Some(HeldExperts { map: key, sets });
             }
         }
         true
@@ -194,7 +201,7 @@
         let view = &state.view;
         let address = self.cfg.engine.to_string();
         let (armed, armed_step) = view.armed.unwrap_or_default();
-        let experts = reading.experts.as_ref().map(|(_, sets)| sets.as_slice()).unwrap_or_default();
+        let experts = reading.experts.as_ref().map(|h| h.sets.as_slice()).unwrap_or_default();
         let list =
             |l: &Vec<ExpertId>| ExpertList { experts: l.iter().map(|e| u32::from(e.0)).collect() };
         RankReport {
