Control sends no more a second however many ranks there are

Change: the load of ranks goes out stripped and less often beyond 36 of them; their agents wait longer while nothing is under way.

--- a/crates/control/src/book.rs
+++ b/crates/control/src/book.rs
@@ -19,6 +19,8 @@
 /// Gateways count for this long after they were last heard: a gateway that is out of touch goes on
 /// sending, so its share of every allowance stays reserved.
 const GATEWAY_KEPT: Duration = Duration::from_secs(60);
+/// Ranks whose load goes out with every flush; that of more ranks goes out less often.
+const RANKS_PER_FLUSH: usize = 36;
 /// Suspects that are remembered for followers to come.
 const SUSPECTS_KEPT: usize = 256;
 
@@ -31,6 +33,7 @@
     refreshed: Vec<EndpointBeat>,
     ranks: HashMap<String, (Instant, RankLoad)>,
     ranks_changed: bool,
+    flushes: usize,
     suspects: VecDeque<SuspectNotice>,
 }
 
@@ -61,8 +64,10 @@
         known
     }
 
-    /// Takes what an agent sees of its rank.
+    /// Takes what an agent sees of its rank; gateways need its load alone.
     pub(crate) fn rank(&mut self, now: Instant, load: RankLoad) {
+        let RankLoad { address, open, running, queued, .. } = load;
+        let load = RankLoad { address, open, running, queued, ..RankLoad::default() };
         self.ranks.insert(load.address.clone(), (now, load));
         self.ranks_changed = true;
     }
@@ -106,12 +111,16 @@
     pub(crate) fn flush(&mut self, now: Instant, policy_version: u64) {
         self.registry.expire(now);
         self.gateways.retain(|_, at| now.saturating_duration_since(*at) < GATEWAY_KEPT);
-        if self.refreshed.is_empty() && !self.ranks_changed {
+        self.flushes += 1;
+        // What all followers are sent in a second stays the same however many ranks there are.
+        let turns = self.ranks.len().div_ceil(RANKS_PER_FLUSH).max(1);
+        let ranks_due = self.ranks_changed && self.flushes % turns == 0;
+        if self.refreshed.is_empty() && !ranks_due {
             return;
         }
         let endpoints = std::mem::take(&mut self.refreshed);
-        let ranks = if self.ranks_changed { self.ranks_at(now) } else { Vec::new() };
-        self.ranks_changed = false;
+        let ranks = if ranks_due { self.ranks_at(now) } else { Vec::new() };
+        self.ranks_changed &= !ranks_due;
         let gateways = self.gateways.len() as u32;
         self.tell(Update { policy_version, endpoints, ranks, gateways, ..Update::default() });
     }
--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -84,15 +84,20 @@
 
     /// The orders for the agent that has just reported.
     pub(crate) fn orders(&mut self, now: Instant, report: &wire::RankReport) -> Told {
+        let ranks: usize = self.groups.values().map(|g| g.engines.len()).sum();
+        let idle = IDLE_WAIT * ranks.div_ceil(RANKS_PER_WAIT).max(1) as u32;
         match self.groups.get_mut(&key(report)) {
-            Some(group) => group.orders(now, report.rank as usize),
-            None => Told::Wait(Arc::new(Event::new()), IDLE_WAIT),
+            Some(group) => group.orders(now, report.rank as usize, idle),
+            None => Told::Wait(Arc::new(Event::new()), idle),
         }
     }
 }
 
 /// Longest time that an agent waits while nothing is under way.
 const IDLE_WAIT: Duration = Duration::from_millis(100);
+/// Ranks that the coordinator hears this often; more of them are heard less often, so that its
+/// processor time does not grow with them.
+const RANKS_PER_WAIT: usize = 36;
 /// The same while a pass may be held back, when orders may have to be sent again.
 const HELD_WAIT: Duration = Duration::from_millis(25);
 
@@ -155,13 +160,13 @@
         }
     }
 
-    fn orders(&mut self, now: Instant, rank: usize) -> Told {
+    fn orders(&mut self, now: Instant, rank: usize, idle: Duration) -> Told {
         let orders = self.ranks.handover().orders(now, rank);
         if orders.is_empty() {
             if self.ranks.handover().may_be_held() {
                 return Told::Wait(self.changed.clone(), HELD_WAIT);
             }
-            return Told::Wait(self.changed.clone(), IDLE_WAIT);
+            return Told::Wait(self.changed.clone(), idle);
         }
         let epoch = self.ranks.handover().epoch();
         let mut out = Vec::new();
--- a/crates/core/src/dispatch/member.rs
+++ b/crates/core/src/dispatch/member.rs
@@ -33,12 +33,8 @@
 }
 
 /// What the agent beside a rank has reported of it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RankState {
-    /// Name of the group of ranks.
-    pub group: String,
-    /// Epoch of the group; a rank that is lost ends it.
-    pub epoch: u64,
     /// Whether the group takes requests.
     pub open: bool,
     /// Requests that run.
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -59,7 +59,7 @@
 }
 
 fn rank(at: Instant, running: u32, open: bool) -> RankState {
-    RankState { group: "g".to_owned(), epoch: 1, open, running, queued: 0, at }
+    RankState { open, running, queued: 0, at }
 }
 
 #[test]
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -156,15 +156,13 @@
     let now = gateway.clock.now();
     let age = Duration::from_millis(u64::from(load.age_ms));
     let state = RankState {
-        group: load.group.clone(),
-        epoch: load.epoch,
         open: load.open,
         running: load.running,
         queued: load.queued,
         at: now.checked_sub(age).unwrap_or(now),
     };
     for places in gateway.all_places() {
-        places.with(|pool| pool.report(address, state.clone()));
+        places.with(|pool| pool.report(address, state));
     }
 }
 
