--- a/crates/net/src/http_server.rs
+++ b/crates/net/src/http_server.rs
@@ -109,8 +109,7 @@
     rt.spawn(async move {
         loop {
             let stopped = async {
-                shutdown.wait().await;
-                crate::sleep(limits.linger).await;
+                shutdown.wait_past(limits.linger).await;
                 None
             };
             let accepted = async { Some(listener.accept().await) };
@@ -149,8 +148,7 @@
     let io = CodedIo::new(FuturesIo::new(stream), limits.coded);
     let mut served = std::pin::pin!(builder.serve_connection(io, call));
     let stopped = async {
-        shutdown.wait().await;
-        crate::sleep(limits.linger).await;
+        shutdown.wait_past(limits.linger).await;
         None
     };
     let first = async { Some(served.as_mut().await) }.or(stopped).await;
--- a/crates/net/src/shutdown.rs
+++ b/crates/net/src/shutdown.rs
@@ -1,10 +1,12 @@
 //! [`Shutdown`]: a planned stop, which waits for the last request.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_channel::Receiver;
 use async_signal::Signal;
@@ -26,6 +28,7 @@
 #[derive(Debug, Default)]
 struct Inner {
     asked: AtomicBool,
+    asked_at: OnceLock<Instant>,
     busy: AtomicUsize,
     connections: AtomicUsize,
     waiting: event_listener::Event,
@@ -81,6 +84,7 @@
 
     /// Asks for the stop.
     pub fn ask(&self) {
+        self.inner.asked_at.get_or_init(Instant::now);
         self.inner.asked.store(true, Ordering::Release);
         self.inner.waiting.notify(usize::MAX);
     }
@@ -101,6 +105,13 @@
         }
     }
 
+    /// Waits until `linger` has passed since the stop was asked for, whenever this is called.
+    pub async fn wait_past(&self, linger: Duration) {
+        self.wait().await;
+        let passed = self.inner.asked_at.get().map_or(Duration::ZERO, Instant::elapsed);
+        sleep(linger.saturating_sub(passed)).await;
+    }
+
     /// Notes a request under way.
     pub fn busy(&self) -> Busy {
         self.inner.busy.fetch_add(1, Ordering::AcqRel);
