--- a/crates/control/src/book.rs
+++ b/crates/control/src/book.rs
@@ -114,7 +114,7 @@
         self.flushes += 1;
         // What all followers are sent in a second stays the same however many ranks there are.
         let turns = self.ranks.len().div_ceil(RANKS_PER_FLUSH).max(1);
-        let ranks_due = self.ranks_changed && self.flushes % turns == 0;
+        let ranks_due = self.ranks_changed && self.flushes.is_multiple_of(turns);
         if self.refreshed.is_empty() && !ranks_due {
             return;
         }
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -116,8 +116,6 @@
 const RETRY_MAX: Duration = Duration::from_millis(2500);
 /// Time to come back while no endpoint takes work: about what a group needs to form again.
 const RETRY_NONE: Duration = Duration::from_millis(1200);
-/// Callers that one place is promised to, each a place's turn later than the one before.
-const PROMISES_PER_TURN: f64 = 1.0;
 
 /// The endpoints of one service, as one gateway uses them.
 #[derive(Clone, Debug)]
@@ -434,7 +432,7 @@
     /// When a refused caller should come back: each one is promised a later turn, so that they do
     /// not return all at once.
     fn promise(&mut self, now: Instant) -> Duration {
-        let turn = self.expected_wait(now, 1).div_f64(PROMISES_PER_TURN);
+        let turn = self.expected_wait(now, 1);
         let earliest = now + RETRY_MIN + self.expected_wait(now, self.waiting.len() + 1);
         let at = self.promised_until.map_or(earliest, |p| (p + turn).max(earliest));
         let at = at.min(now + RETRY_MAX);
