Agents report as soon as their copies should be there

Cause: after a `prepare` an agent came back with the next idle report, 100 to 200 ms later, and after a switch the next plan waited 100 ms more. Change: while copies are under way agents wait until the published copy time is over; a plan that starts from a new map does not wait. Ruled out: waiting for counters of the new map; demand does not depend on the map.

--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -36,6 +36,10 @@
     engines: Vec<String>,
     next_number: u64,
     sent: HashMap<u64, (usize, RankOrder)>,
+    /// Time to copy one expert to a rank.
+    copy: Duration,
+    /// When the copies of the plan under way should have arrived.
+    copied_at: Option<Instant>,
 }
 
 /// The groups that the leader of one term keeps.
@@ -98,7 +102,8 @@
 /// Ranks that the coordinator hears this often; more of them are heard less often, so that its
 /// processor time does not grow with them.
 const RANKS_PER_WAIT: usize = 36;
-/// The same while a pass may be held back, when orders may have to be sent again.
+/// The same once copies should have arrived, and while a pass may be held back, when orders may have
+/// to be sent again.
 const HELD_WAIT: Duration = Duration::from_millis(25);
 
 fn key(report: &wire::RankReport) -> (String, String) {
@@ -122,6 +127,8 @@
             engines: Vec::new(),
             next_number: 0,
             sent: HashMap::new(),
+            copy: engine.copy,
+            copied_at: None,
         }
     }
 
@@ -152,6 +159,7 @@
                 "map planned"
             );
             metrics::counter!("crocustally_map_plans").increment(1);
+            self.copied_at = Some(now + self.copy * plan.copies_max as u32);
         }
         let phase = self.ranks.handover().phase();
         if phase != before {
@@ -160,13 +168,22 @@
         }
     }
 
+    /// How long an agent without orders waits before it reports again.
+    fn wait(&mut self, now: Instant, idle: Duration) -> Duration {
+        match self.ranks.handover().phase() {
+            HandoverPhase::Gathering | HandoverPhase::Steady => idle,
+            HandoverPhase::Preparing { .. } => {
+                let left = self.copied_at.map(|at| at.saturating_duration_since(now));
+                left.map_or(idle, |left| left.clamp(HELD_WAIT, idle))
+            }
+            _ => HELD_WAIT,
+        }
+    }
+
     fn orders(&mut self, now: Instant, rank: usize, idle: Duration) -> Told {
         let orders = self.ranks.handover().orders(now, rank);
         if orders.is_empty() {
-            if self.ranks.handover().may_be_held() {
-                return Told::Wait(self.changed.clone(), HELD_WAIT);
-            }
-            return Told::Wait(self.changed.clone(), idle);
+            return Told::Wait(self.changed.clone(), self.wait(now, idle));
         }
         let epoch = self.ranks.handover().epoch();
         let mut out = Vec::new();
--- a/crates/core/src/experts/group.rs
+++ b/crates/core/src/experts/group.rs
@@ -47,6 +47,8 @@
     /// Experts of each rank, with the map version that they belong to.
     held: Vec<Option<(u64, Vec<Vec<ExpertId>>)>>,
     planned: Option<Instant>,
+    /// Map that the last plan started from: after a switch the next plan need not wait.
+    planned_from: Option<u64>,
     /// Skew that the plan under way was made for.
     planned_for: f64,
     epoch: u64,
@@ -65,6 +67,7 @@
             demand: None,
             held: Vec::new(),
             planned: None,
+            planned_from: None,
             planned_for: 0.0,
             epoch: 0,
         }
@@ -100,18 +103,22 @@
 
     /// Begins the next plan if one is worth its cost now; answers its version.
     pub fn plan(&mut self, now: Instant) -> Option<(u64, MovePlan)> {
-        let rested =
-            self.planned.is_none_or(|at| now.saturating_duration_since(at) >= self.cfg.pause);
         let preparing = matches!(self.handover.phase(), HandoverPhase::Preparing { .. });
-        if !rested || !(preparing || self.handover.phase() == HandoverPhase::Steady) {
+        if !(preparing || self.handover.phase() == HandoverPhase::Steady) {
             return None;
         }
         let map = self.handover.map_in_use(now)?;
+        let rested =
+            self.planned.is_none_or(|at| now.saturating_duration_since(at) >= self.cfg.pause);
+        if !rested && self.planned_from == Some(map) {
+            return None;
+        }
         let current = self.placement(map)?;
         let demand = self.demand.as_ref()?;
         let shares: Option<Vec<Vec<f64>>> = (0..self.cfg.sets).map(|s| demand.shares(s)).collect();
         let shares = shares?;
         self.planned = Some(now);
+        self.planned_from = Some(map);
         if preparing && MovePlanner::skew(&current, &shares) < REPLAN_GROWTH * self.planned_for {
             return None;
         }
--- a/crates/core/src/experts/moves.rs
+++ b/crates/core/src/experts/moves.rs
@@ -24,6 +24,8 @@
     pub sets: Vec<LayerMap>,
     /// Copies over all ranks and sets.
     pub copies: usize,
+    /// Copies of the rank that gets most.
+    pub copies_max: usize,
     /// Mean over the sets of the heaviest rank's load, as a multiple of the mean rank's.
     pub skew_before: f64,
     /// The same afterwards.
@@ -105,7 +107,8 @@
         let worth = skew_before - skew_after >= self.cfg.gain_min * skew_before;
         let copies = work.iter().map(|w| w.map.loads_from(w.before)).sum();
         let sets: Vec<LayerMap> = work.into_iter().map(|w| w.map).collect();
-        worth.then_some(MovePlan { sets, copies, skew_before, skew_after })
+        let copies_max = copied.into_iter().max().unwrap_or(0);
+        worth.then_some(MovePlan { sets, copies, copies_max, skew_before, skew_after })
     }
 
     /// Mean over the sets of the heaviest rank's load, as a multiple of the mean rank's.
