Demand is counted pass by pass, and unknown until one pass after a shift is seen

Change: counters carry the pass they were read in; a pass that three quarters of the ranks have counted is judged alone. Choices over several passes are only looked at for a shift, after which ranks are read once a pass until one is whole. Agents of small groups report every 45 ms, those of large ones as before. Ruled out: recurring favourites (they are new each time, so nothing is learned).

--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use crocustally_core::experts::Answered;
+use crocustally_core::experts::Counters;
 use crocustally_core::experts::ExpertId;
 use crocustally_core::experts::GroupSettings;
 use crocustally_core::experts::HandoverPhase;
@@ -89,7 +90,7 @@
     /// The orders for the agent that has just reported.
     pub(crate) fn orders(&mut self, now: Instant, report: &wire::RankReport) -> Told {
         let ranks: usize = self.groups.values().map(|g| g.engines.len()).sum();
-        let idle = IDLE_WAIT * ranks.div_ceil(RANKS_PER_WAIT).max(1) as u32;
+        let idle = (IDLE_WAIT_PER_RANK * ranks as u32).max(PASS_WAIT);
         match self.groups.get_mut(&key(report)) {
             Some(group) => group.orders(now, report.rank as usize, idle),
             None => Told::Wait(Arc::new(Event::new()), idle),
@@ -97,11 +98,11 @@
     }
 }
 
-/// Longest time that an agent waits while nothing is under way.
-const IDLE_WAIT: Duration = Duration::from_millis(100);
-/// Ranks that the coordinator hears this often; more of them are heard less often, so that its
+/// Longest time that an agent waits while nothing is under way, for each rank: the coordinator's
 /// processor time does not grow with them.
-const RANKS_PER_WAIT: usize = 36;
+const IDLE_WAIT_PER_RANK: Duration = Duration::from_micros(2800);
+/// Longest time that an agent waits where every pass should be seen: passes take longer.
+const PASS_WAIT: Duration = Duration::from_millis(45);
 /// The same once copies should have arrived, and while a pass may be held back, when orders may have
 /// to be sent again.
 const HELD_WAIT: Duration = Duration::from_millis(25);
@@ -134,7 +135,7 @@
 
     fn report(&mut self, now: Instant, load: &wire::RankLoad, report: &wire::RankReport) {
         let rank = report.rank as usize;
-        let before = self.ranks.handover().phase();
+        let before = (self.ranks.handover().phase(), self.ranks.shifting());
         for result in &report.results {
             let Some((target, order)) = self.sent.remove(&result.number) else { continue };
             let answered = match result.outcome {
@@ -161,9 +162,14 @@
             metrics::counter!("crocustally_map_plans").increment(1);
             self.copied_at = Some(now + self.copy * plan.copies_max as u32);
         }
-        let phase = self.ranks.handover().phase();
-        if phase != before {
-            note_phase(load, before, phase);
+        let after = (self.ranks.handover().phase(), self.ranks.shifting());
+        if after.0 != before.0 {
+            note_phase(load, before.0, after.0);
+        }
+        if !before.1 && after.1 {
+            log::info!(group = load.group.as_str(), step = load.step; "popularity shifts");
+        }
+        if after != before {
             self.changed.notify(usize::MAX);
         }
     }
@@ -171,7 +177,13 @@
     /// How long an agent without orders waits before it reports again.
     fn wait(&mut self, now: Instant, idle: Duration) -> Duration {
         match self.ranks.handover().phase() {
-            HandoverPhase::Gathering | HandoverPhase::Steady => idle,
+            HandoverPhase::Gathering | HandoverPhase::Steady => {
+                if self.ranks.shifting() {
+                    PASS_WAIT
+                } else {
+                    idle
+                }
+            }
             HandoverPhase::Preparing { .. } => {
                 let left = self.copied_at.map(|at| at.saturating_duration_since(now));
                 left.map_or(idle, |left| left.clamp(HELD_WAIT, idle))
@@ -223,7 +235,8 @@
             armed: some(report.armed).map(|version| (version, report.armed_step)),
             held: report.held,
         },
-        counters: report.counts.clone(),
+        counters: (!report.counts.is_empty())
+            .then(|| Counters { step: report.counts_step, choices: report.counts.clone() }),
         experts: report.experts.iter().map(ids).collect(),
     }
 }
--- a/crates/core/src/experts/demand.rs
+++ b/crates/core/src/experts/demand.rs
@@ -1,73 +1,142 @@
 //! [`Demand`]: how often each expert is chosen lately, from counters that only grow.
 
-use std::time::Duration;
-use std::time::Instant;
-
-/// Time over which choices are gathered before they are compared with those before: a pass or two,
-/// so that every rank has spoken.
-const GATHER: Duration = Duration::from_millis(110);
-/// Share of the demand that remains after one more gathering, while popularity holds still.
-const KEPT: f64 = 0.6;
+/// Share of the demand that remains after one more pass, while popularity holds still.
+const KEPT: f64 = 0.75;
+/// The same after choices that were gathered over several passes.
+const KEPT_MIXED: f64 = 0.6;
 /// Part of the choices that must have moved to other experts for a shift: well above the noise of a
 /// pass, and of requests that come and go.
 const SHIFT: f64 = 0.2;
 /// Part of the demand that is spread evenly over all experts.
 const FLOOR: f64 = 0.02;
-/// Choices in a set below which its demand is not judged.
-const CHOICES_MIN: f64 = 200.0;
+/// Choices in a set below which its demand is not judged: with fewer, the chances of single requests
+/// look like a shift.
+const CHOICES_MIN: f64 = 1000.0;
+/// Share of the ranks that must have counted one pass before it is judged.
+const PASS_QUORUM: f64 = 0.75;
+/// Share of the ranks whose choices over several passes are enough to suspect a shift.
+const LOOK_QUORUM: f64 = 0.25;
+
+/// Choices of each expert, all sets after one another, since a rank started.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// The pass that they were read in.
+    pub step: u64,
+    /// How often each expert was chosen.
+    pub choices: Vec<u64>,
+}
+
+/// Readings of each rank over several passes after which they are taken for the new popularity, where
+/// no single pass is seen.
+const READINGS_UNSEEN: usize = 3;
+
+/// Choices that are gathered before they are judged.
+#[derive(Clone, Debug)]
+struct Gathered {
+    choices: Vec<f64>,
+    /// Readings that they come from.
+    readings: usize,
+}
+
+impl Gathered {
+    fn new(len: usize) -> Self {
+        Self { choices: vec![0.0; len], readings: 0 }
+    }
+
+    fn add(&mut self, choices: impl Iterator<Item = f64>) {
+        self.choices.iter_mut().zip(choices).for_each(|(sum, c)| *sum += c);
+        self.readings += 1;
+    }
+
+    /// Takes over what another one has gathered.
+    fn merge(&mut self, other: &mut Self) {
+        self.choices.iter_mut().zip(&other.choices).for_each(|(sum, c)| *sum += c);
+        self.readings += other.readings;
+        other.clear();
+    }
+
+    fn clear(&mut self) {
+        self.choices.fill(0.0);
+        self.readings = 0;
+    }
+}
 
 /// Recent choices of each expert, set by set, over all ranks of a group.
 ///
-/// While popularity holds still the choices of the last passes are averaged; when it shifts, what
-/// was chosen before is forgotten at once, since every copy that is planned for it is wasted.
+/// While popularity holds still the choices of the last passes are averaged. When it shifts, what
+/// was chosen before is forgotten, and demand is unknown until one pass has been counted that lies
+/// wholly after the shift: copies that are planned for a mixture of both are wasted.
 #[derive(Clone, Debug)]
 pub struct Demand {
     sets: usize,
     experts: usize,
-    seen: Vec<Option<Vec<u64>>>,
-    weights: Vec<Vec<f64>>,
-    gathered: Vec<Vec<f64>>,
-    since: Option<Instant>,
+    seen: Vec<Option<Counters>>,
+    weights: Vec<f64>,
+    /// Choices of the newest pass alone, and which pass that is.
+    pass: Gathered,
+    step: u64,
+    /// Choices of ranks that were read less often than once a pass.
+    mixed: Gathered,
+    /// The newest of them, which have not been compared with the demand yet.
+    look: Gathered,
+    shifting: bool,
 }
 
 impl Demand {
     /// Nothing seen yet of a group with `ranks` ranks.
     pub fn new(sets: usize, experts: usize, ranks: usize) -> Self {
-        let none = vec![vec![0.0; experts]; sets];
+        let len = sets * experts;
         Self {
             sets,
             experts,
             seen: vec![None; ranks],
-            weights: none.clone(),
-            gathered: none,
-            since: None,
+            weights: vec![0.0; len],
+            pass: Gathered::new(len),
+            step: 0,
+            mixed: Gathered::new(len),
+            look: Gathered::new(len),
+            shifting: false,
         }
     }
 
-    /// Takes the counters of a rank, all sets after one another; counters that went back belong to
-    /// an engine that has started anew.
-    pub fn count(&mut self, now: Instant, rank: usize, counters: &[u64]) {
-        if counters.len() != self.sets * self.experts || rank >= self.seen.len() {
+    /// Takes the counters of a rank; those that went back belong to an engine that has started anew.
+    pub fn count(&mut self, rank: usize, counters: Counters) {
+        if counters.choices.len() != self.sets * self.experts || rank >= self.seen.len() {
             return;
         }
-        let since = *self.since.get_or_insert(now);
-        if now.saturating_duration_since(since) >= GATHER {
-            self.take_gathered();
-            self.since = Some(now);
-        }
-        if let Some(before) = &self.seen[rank] {
-            let restarted = counters.iter().zip(before).any(|(new, old)| new < old);
-            for (i, new) in counters.iter().enumerate() {
-                let old = if restarted { 0 } else { before[i] };
-                self.gathered[i / self.experts][i % self.experts] += (new - old) as f64;
+        let step = counters.step;
+        let Some(before) = self.seen[rank].replace(counters) else { return };
+        let new = self.seen[rank].iter().flat_map(|c| &c.choices);
+        let deltas: Option<Vec<u64>> =
+            new.zip(&before.choices).map(|(new, old)| new.checked_sub(*old)).collect();
+        let Some(deltas) = deltas.filter(|_| step > before.step) else { return };
+        let choices = deltas.iter().map(|n| *n as f64);
+        if step == before.step + 1 && step >= self.step {
+            if step > self.step {
+                self.finish_pass();
+                self.step = step;
             }
+            self.pass.add(choices);
+            if self.pass.readings as f64 >= PASS_QUORUM * self.seen.len() as f64 {
+                self.judge_pass();
+            }
+            return;
         }
-        self.seen[rank] = Some(counters.to_vec());
+        self.look.add(choices);
+        self.judge_mixed();
+    }
+
+    /// Whether popularity has just shifted, so that ranks should be read once a pass.
+    pub fn shifting(&self) -> bool {
+        self.shifting
     }
 
     /// Share of each expert in a set's choices; `None` while too little is known.
     pub fn shares(&self, set: usize) -> Option<Vec<f64>> {
-        let weights = self.weights.get(set)?;
+        if self.shifting || set >= self.sets {
+            return None;
+        }
+        let weights = &self.weights[set * self.experts..(set + 1) * self.experts];
         let total: f64 = weights.iter().sum();
         // An expert that was not chosen lately may be chosen next: a small even part stays.
         let floor = FLOOR / self.experts as f64;
@@ -75,25 +144,62 @@
         (total >= CHOICES_MIN).then(|| weights.iter().map(share).collect())
     }
 
-    fn take_gathered(&mut self) {
-        let gathered: f64 = self.gathered.iter().flatten().sum();
-        if gathered < CHOICES_MIN * self.sets as f64 {
-            // Too few to compare: gather on.
+    /// Keeps what was counted of a pass that too few ranks were read in.
+    fn finish_pass(&mut self) {
+        if self.pass.readings > 0 {
+            self.look.merge(&mut self.pass);
+        }
+    }
+
+    /// Judges one pass that nearly all ranks have counted: it shows its popularity alone.
+    fn judge_pass(&mut self) {
+        if !self.enough(&self.pass) {
+            self.finish_pass();
+            return self.judge_mixed();
+        }
+        if self.shifting || self.moved(&self.pass) > SHIFT {
+            self.weights.fill(0.0);
+            self.shifting = false;
+        }
+        take(&mut self.weights, KEPT, &self.pass);
+        self.pass.clear();
+        self.look.clear();
+        self.mixed.clear();
+    }
+
+    /// Judges choices over several passes: they may straddle a shift.
+    fn judge_mixed(&mut self) {
+        let ranks = self.seen.len();
+        let few = (self.look.readings as f64) < LOOK_QUORUM * ranks as f64;
+        if few || !self.enough(&self.look) {
             return;
         }
-        let moved = self.moved();
-        let kept = if moved > SHIFT { 0.0 } else { KEPT };
-        for (weights, new) in self.weights.iter_mut().zip(&mut self.gathered) {
-            for (w, n) in weights.iter_mut().zip(new) {
-                *w = *w * kept + std::mem::take(n);
-            }
+        if !self.shifting && self.moved(&self.look) > SHIFT {
+            self.shifting = true;
+            self.look.clear();
+            return self.mixed.clear();
+        }
+        self.mixed.merge(&mut self.look);
+        // After a shift, where too few are read once a pass, many readings outweigh those before it.
+        if self.shifting && self.mixed.readings >= READINGS_UNSEEN * ranks {
+            self.weights.fill(0.0);
+            self.shifting = false;
+        }
+        if !self.shifting && self.mixed.readings >= ranks {
+            take(&mut self.weights, KEPT_MIXED, &self.mixed);
+            self.mixed.clear();
         }
     }
 
+    fn enough(&self, gathered: &Gathered) -> bool {
+        gathered.choices.iter().sum::<f64>() >= CHOICES_MIN * self.sets as f64
+    }
+
     /// Part of the choices that has moved to other experts, over all sets.
-    fn moved(&self) -> f64 {
+    fn moved(&self, gathered: &Gathered) -> f64 {
+        let sets = self.weights.chunks(self.experts).zip(gathered.choices.chunks(self.experts));
         let mut moved = 0.0;
-        for (weights, new) in self.weights.iter().zip(&self.gathered) {
+        for (weights, new) in sets {
             let (before, now): (f64, f64) = (weights.iter().sum(), new.iter().sum());
             if before <= 0.0 || now <= 0.0 {
                 return 1.0;
@@ -104,3 +210,7 @@
         moved / self.sets.max(1) as f64
     }
 }
+
+fn take(weights: &mut [f64], kept: f64, gathered: &Gathered) {
+    weights.iter_mut().zip(&gathered.choices).for_each(|(w, n)| *w = *w * kept + n);
+}
--- a/crates/core/src/experts/group.rs
+++ b/crates/core/src/experts/group.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::Counters;
 use super::Demand;
 use super::ExpertId;
 use super::Handover;
@@ -31,9 +32,8 @@
 pub struct RankReading {
     /// The rank's state.
     pub view: RankView,
-    /// Choices of each expert since the rank started, all sets after one another; empty when they
-    /// were not read this time.
-    pub counters: Vec<u64>,
+    /// Choices of each expert since the rank started; none when they were not read this time.
+    pub counters: Option<Counters>,
     /// Experts of the rank under its map, set by set; empty when they are not known.
     pub experts: Vec<Vec<ExpertId>>,
 }
@@ -94,13 +94,18 @@
         if experts.len() == self.cfg.sets {
             self.held[rank] = Some((map, experts));
         }
-        if !counters.is_empty() {
+        if let Some(counters) = counters {
             let (sets, experts) = (self.cfg.sets, self.cfg.experts);
             let demand = self.demand.get_or_insert_with(|| Demand::new(sets, experts, size));
-            demand.count(now, rank, &counters);
+            demand.count(rank, counters);
         }
     }
 
+    /// Whether popularity has just shifted, so that ranks should be read once a pass.
+    pub fn shifting(&self) -> bool {
+        self.demand.as_ref().is_some_and(Demand::shifting)
+    }
+
     /// Begins the next plan if one is worth its cost now; answers its version.
     pub fn plan(&mut self, now: Instant) -> Option<(u64, MovePlan)> {
         let preparing = matches!(self.handover.phase(), HandoverPhase::Preparing { .. });
--- a/crates/core/src/experts/mod.rs
+++ b/crates/core/src/experts/mod.rs
@@ -19,6 +19,7 @@
 pub use coordinator::Coordinator;
 pub use coordinator::Orders;
 pub use coordinator::Phase;
+pub use demand::Counters;
 pub use demand::Demand;
 pub use gate::Gate;
 pub use gate::GateState;
--- a/crates/core/tests/moves.rs
+++ b/crates/core/tests/moves.rs
@@ -2,8 +2,8 @@
 #![allow(clippy::unwrap_used)]
 
 use std::time::Duration;
-use std::time::Instant;
 
+use crocustally_core::experts::Counters;
 use crocustally_core::experts::Demand;
 use crocustally_core::experts::LayerMap;
 use crocustally_core::experts::MovePlanner;
@@ -145,59 +145,86 @@
     assert!(planner(2).plan(&start(), &even).is_none());
 }
 
-#[test]
-fn demand_follows_a_shift_within_a_few_passes() {
-    let start = Instant::now();
-    let mut demand = Demand::new(1, 4, 2);
-    let mut counters = [vec![0_u64; 4], vec![0; 4]];
-    for pass in 0..30_u64 {
-        let liked = if pass < 20 { 0 } else { 3 };
-        let now = start + Duration::from_millis(70 * pass);
+/// Counters of a group whose popularity shifts in a pass, read by each rank every `every` passes at
+/// its own time; answers the passes after the shift until demand is known again, and its shares.
+fn after_a_shift(every: u64) -> (u64, Vec<f64>) {
+    const SHIFTED_AT: u64 = 20;
+    let mut demand = Demand::new(1, 4, RANKS);
+    let mut counters = vec![vec![0_u64; 4]; RANKS];
+    for step in 0..60_u64 {
+        let liked = if step < SHIFTED_AT { 0 } else { 3 };
         for (rank, c) in counters.iter_mut().enumerate() {
             c[liked] += 900;
             c[1] += 100;
-            demand.count(now, rank, c);
+            if (step + rank as u64).is_multiple_of(every) || demand.shifting() {
+                demand.count(rank, Counters { step, choices: c.clone() });
+            }
+        }
+        let shares = demand.shares(0);
+        if step >= SHIFTED_AT && shares.as_ref().is_some_and(|s| s[3] > s[0]) {
+            return (step - SHIFTED_AT, shares.unwrap());
         }
     }
-    let shares = demand.shares(0).unwrap();
+    panic!("the shift was not seen");
+}
+
+#[test]
+fn the_first_pass_after_a_shift_shows_the_new_popularity_alone() {
+    let (passes, shares) = after_a_shift(1);
+    assert_eq!(passes, 0);
     assert!(shares[3] > 0.85 && shares[0] < 0.05, "{shares:?}");
 }
 
 #[test]
-fn counters_of_a_restarted_rank_count_from_zero() {
-    let start = Instant::now();
+fn ranks_that_are_read_seldom_are_read_once_a_pass_when_popularity_shifts() {
+    for every in [2, 3, 4] {
+        let (passes, shares) = after_a_shift(every);
+        assert!(passes <= 2, "read every {every} passes: known after {passes}");
+        assert!(shares[3] > 0.85 && shares[0] < 0.05, "read every {every} passes: {shares:?}");
+    }
+}
+
+#[test]
+fn counters_of_a_restarted_rank_count_anew() {
     let mut demand = Demand::new(1, 2, 1);
-    demand.count(start, 0, &[1_000_000, 0]);
+    demand.count(0, Counters { step: 90, choices: vec![1_000_000, 0] });
     for n in 1..5 {
-        demand.count(start + Duration::from_millis(90 * n), 0, &[0, 5_000 * n]);
+        demand.count(0, Counters { step: 90 + n, choices: vec![0, 5_000 * n] });
     }
     let shares = demand.shares(0).unwrap();
     assert!(shares[1] > 0.9, "{shares:?}");
 }
 
+/// A quiet hour: single requests, each of its own kind, are no shift.
 #[test]
-fn one_gathering_after_a_shift_shows_the_new_popularity_alone() {
-    let start = Instant::now();
-    let mut demand = Demand::new(1, 4, 1);
-    let mut counters = vec![0_u64; 4];
-    let mut at = Duration::ZERO;
-    let mut pass = |demand: &mut Demand, liked: usize| {
-        at += Duration::from_millis(60);
-        counters[liked] += 900;
-        counters[1] += 100;
-        demand.count(start + at, 0, &counters);
-    };
-    (0..30).for_each(|_| pass(&mut demand, 0));
-    // One gathering may still be mixed, the next one is not.
-    (0..5).for_each(|_| pass(&mut demand, 3));
-    let shares = demand.shares(0).unwrap();
-    assert!(shares[3] > 0.85, "{shares:?}");
+fn few_requests_do_not_look_like_a_shift() {
+    let mut rng = ChaCha8Rng::seed_from_u64(9);
+    let mut demand = Demand::new(1, EXPERTS, RANKS);
+    let mut counters = vec![vec![0_u64; EXPERTS]; RANKS];
+    let liked = shares(&mut rng);
+    let mut shifts = 0;
+    for step in 0..200_u64 {
+        let busy = rng.random_range(0..RANKS);
+        for _ in 0..240 {
+            let mut draw = rng.random::<f64>();
+            let expert = liked.iter().position(|s| {
+                draw -= s;
+                draw < 0.0
+            });
+            counters[busy][expert.unwrap_or(0)] += 1;
+        }
+        for (rank, c) in counters.iter().enumerate() {
+            demand.count(rank, Counters { step, choices: c.clone() });
+        }
+        shifts += usize::from(demand.shifting() && step > 20);
+    }
+    assert_eq!(shifts, 0);
+    assert!(demand.shares(0).is_some());
 }
 
 #[test]
 fn the_noise_of_single_passes_is_averaged() {
     let mut rng = ChaCha8Rng::seed_from_u64(4);
-    let start = Instant::now();
     let mut demand = Demand::new(1, EXPERTS, 1);
     let liked = shares(&mut rng);
     let mut counters = vec![0_u64; EXPERTS];
@@ -206,7 +233,7 @@
             let noise = 1.0 + 0.2 * (rng.random::<f64>() - 0.5);
             *c += (share * 16_000.0 * noise) as u64;
         }
-        demand.count(start + Duration::from_millis(70 * pass), 0, &counters);
+        demand.count(0, Counters { step: pass, choices: counters.clone() });
     }
     let measured = demand.shares(0).unwrap();
     for (m, l) in measured.iter().zip(&liked) {
--- a/crates/rank/src/agent.rs
+++ b/crates/rank/src/agent.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use crocustally_core::experts::Counters;
 use crocustally_core::experts::ExpertId;
 use crocustally_net::Channel;
 use crocustally_net::Clock;
@@ -37,8 +38,8 @@
 use crate::EngineState;
 use crate::RankSettings;
 
-/// Time between two readings of the counters: demand is averaged over more than twice that.
-const COUNT_PERIOD: Duration = Duration::from_millis(90);
+/// Least time between two readings of the counters: passes take longer.
+const COUNT_PERIOD: Duration = Duration::from_millis(30);
 /// Pause after an engine or a coordinator that does not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Longest time for an answer of the engine beside the agent.
@@ -62,7 +63,7 @@
 #[derive(Clone, Debug, Default)]
 struct Reading {
     state: EngineState,
-    counters: Vec<u64>,
+    counters: Option<Counters>,
     counted: Option<Instant>,
     experts: Option<HeldExperts>,
 }
@@ -117,7 +118,7 @@
             });
             let read_at = self.clock.now();
             let report = self.report(&reading, std::mem::take(&mut results));
-            reading.counters.clear();
+            reading.counters = None;
             let Some(Ok(orders)) = timeout(REPORT_TIMEOUT, client.attend(report)).await else {
                 log::warn!(control = address.to_string().as_str(); "coordinator does not answer");
                 sleep(RETRY_PAUSE).await;
@@ -179,7 +180,7 @@
         let due =
             reading.counted.is_none_or(|at| now.saturating_duration_since(at) >= COUNT_PERIOD);
         if due && let Some(body) = self.get(engine, self.dialect.counters_path()).await {
-            reading.counters = self.dialect.counters(&body).unwrap_or_default();
+            reading.counters = self.dialect.counters(&body);
             reading.counted = Some(now);
         }
         let view = &reading.state.view;
@@ -225,7 +226,8 @@
             armed,
             armed_step,
             held: view.held,
-            counts: reading.counters.clone(),
+            counts: reading.counters.as_ref().map(|c| c.choices.clone()).unwrap_or_default(),
+            counts_step: reading.counters.as_ref().map_or(0, |c| c.step),
             experts: experts.iter().map(list).collect(),
             results,
         }
--- a/crates/rank/src/dialect.rs
+++ b/crates/rank/src/dialect.rs
@@ -1,6 +1,7 @@
 //! [`EngineDialect`]: how a platform's engines speak of ranks, counters and maps.
 
 use bytes::Bytes;
+use crocustally_core::experts::Counters;
 use crocustally_core::experts::ExpertId;
 use crocustally_core::experts::RankView;
 
@@ -57,8 +58,8 @@
     /// Path of the counters.
     fn counters_path(&self) -> &'static str;
 
-    /// Decodes choices of each expert, all sets after one another.
-    fn counters(&self, body: &[u8]) -> Option<Vec<u64>>;
+    /// Decodes choices of each expert, all sets after one another, and the pass they belong to.
+    fn counters(&self, body: &[u8]) -> Option<Counters>;
 
     /// Path of the experts that the engine holds.
     fn experts_path(&self) -> &'static str;
