Agents send choices since their last report and sleep through what is not theirs

Cause: the leader was near its processor share (0.11 of 0.15 cores) while maps switched, so passes were held back 53 ms instead of 28, just over the longest pause that is on time. Every change of phase woke all agents, which reported again, with 1,536 cumulative counters each (about 7 KB). Change: agents send differences (`CounterReader`); an agent without orders goes on waiting when others are told something; polls near the end of a switch grow apart with the number of ranks. Ruled out: the bound on streams (passes were 135 ms before the hold).

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -7,6 +7,7 @@
 use std::sync::PoisonError;
 use std::sync::RwLock;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_channel::Receiver;
 use crocustally_core::Code;
@@ -185,18 +186,21 @@
         }
         let policy = self.policy.read().unwrap_or_else(PoisonError::into_inner).clone();
         self.coordinator().report(now, view.term, policy.as_deref(), &report);
-        let told = self.coordinator().orders(now, &report);
-        let (event, wait) = match told {
-            Told::Orders(orders) => return RankOrders { orders, ..RankOrders::default() },
-            Told::Wait(event, wait) => (event, wait),
-        };
-        timeout(wait, event.listen()).await;
-        let now = self.clock.now();
-        match self.coordinator().orders(now, &report) {
-            Told::Orders(orders) if self.log.leads() => {
-                RankOrders { orders, ..RankOrders::default() }
+        let mut report_at = None;
+        loop {
+            let told = self.coordinator().orders(self.clock.now(), &report);
+            let (changed, time) = match told {
+                Told::Orders(_) if !self.log.leads() => return RankOrders::default(),
+                Told::Orders(orders) => return RankOrders { orders, ..RankOrders::default() },
+                Told::Wait { changed, time } => (changed, time),
+            };
+            // What has changed may shorten the wait, never lengthen it.
+            let now = self.clock.now();
+            let at = report_at.map_or(now + time, |at: Instant| at.min(now + time));
+            report_at = Some(at);
+            if timeout(at.saturating_duration_since(now), changed).await.is_none() {
+                return RankOrders::default();
             }
-            _ => RankOrders::default(),
         }
     }
 
--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -1,12 +1,11 @@
 //! [`Coordinator`]: the groups of ranks that the leader keeps evenly loaded.
 
 use std::collections::HashMap;
-use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use crocustally_core::experts::Answered;
-use crocustally_core::experts::Counters;
+use crocustally_core::experts::Choices;
 use crocustally_core::experts::ExpertId;
 use crocustally_core::experts::GroupSettings;
 use crocustally_core::experts::HandoverPhase;
@@ -20,6 +19,7 @@
 use crocustally_core::traffic::TrafficPolicy;
 use crocustally_wire as wire;
 use event_listener::Event;
+use event_listener::EventListener;
 
 /// Least gain of a plan: copying slows passes down for its time.
 const GAIN_MIN: f64 = 0.08;
@@ -32,7 +32,7 @@
 struct Group {
     ranks: RankGroup,
     /// Wakes the agents that wait for orders.
-    changed: Arc<Event>,
+    changed: Event,
     /// Addresses of the ranks' engines.
     engines: Vec<String>,
     next_number: u64,
@@ -56,7 +56,12 @@
     /// Orders to carry out.
     Orders(Vec<wire::RankOrder>),
     /// Nothing yet: to be asked again when the event fires or the time is over.
-    Wait(Arc<Event>, Duration),
+    Wait {
+        /// Fires when something has changed.
+        changed: EventListener,
+        /// Time after which the agent should report again.
+        time: Duration,
+    },
 }
 
 impl Coordinator {
@@ -91,9 +96,10 @@
     pub(crate) fn orders(&mut self, now: Instant, report: &wire::RankReport) -> Told {
         let ranks: usize = self.groups.values().map(|g| g.engines.len()).sum();
         let idle = (IDLE_WAIT_PER_RANK * ranks as u32).max(PASS_WAIT);
+        let held = (HELD_WAIT_PER_RANK * ranks as u32).max(HELD_WAIT);
         match self.groups.get_mut(&key(report)) {
-            Some(group) => group.orders(now, report.rank as usize, idle),
-            None => Told::Wait(Arc::new(Event::new()), idle),
+            Some(group) => group.orders(now, report.rank as usize, idle, held),
+            None => Told::Wait { changed: Event::new().listen(), time: idle },
         }
     }
 }
@@ -106,6 +112,8 @@
 /// The same once copies should have arrived, and while a pass may be held back, when orders may have
 /// to be sent again.
 const HELD_WAIT: Duration = Duration::from_millis(25);
+/// The same for each rank: shifts of popularity come to all groups at once.
+const HELD_WAIT_PER_RANK: Duration = Duration::from_micros(700);
 
 fn key(report: &wire::RankReport) -> (String, String) {
     let group = report.load.as_ref().map(|l| l.group.clone()).unwrap_or_default();
@@ -124,7 +132,7 @@
             GroupSettings { sets: engine.sets, experts: engine.experts, moves, pause: PLAN_PAUSE };
         Self {
             ranks: RankGroup::new(cfg, term),
-            changed: Arc::new(Event::new()),
+            changed: Event::new(),
             engines: Vec::new(),
             next_number: 0,
             sent: HashMap::new(),
@@ -175,7 +183,7 @@
     }
 
     /// How long an agent without orders waits before it reports again.
-    fn wait(&mut self, now: Instant, idle: Duration) -> Duration {
+    fn wait(&mut self, now: Instant, idle: Duration, held: Duration) -> Duration {
         match self.ranks.handover().phase() {
             HandoverPhase::Gathering | HandoverPhase::Steady => {
                 if self.ranks.shifting() {
@@ -186,16 +194,16 @@
             }
             HandoverPhase::Preparing { .. } => {
                 let left = self.copied_at.map(|at| at.saturating_duration_since(now));
-                left.map_or(idle, |left| left.clamp(HELD_WAIT, idle))
+                left.map_or(idle, |left| left.clamp(held, idle))
             }
-            _ => HELD_WAIT,
+            _ => held,
         }
     }
 
-    fn orders(&mut self, now: Instant, rank: usize, idle: Duration) -> Told {
+    fn orders(&mut self, now: Instant, rank: usize, idle: Duration, held: Duration) -> Told {
         let orders = self.ranks.handover().orders(now, rank);
         if orders.is_empty() {
-            return Told::Wait(self.changed.clone(), self.wait(now, idle));
+            return Told::Wait { changed: self.changed.listen(), time: self.wait(now, idle, held) };
         }
         let epoch = self.ranks.handover().epoch();
         let mut out = Vec::new();
@@ -235,8 +243,11 @@
             armed: some(report.armed).map(|version| (version, report.armed_step)),
             held: report.held,
         },
-        counters: (!report.counts.is_empty())
-            .then(|| Counters { step: report.counts_step, choices: report.counts.clone() }),
+        choices: (!report.counts.is_empty()).then(|| Choices {
+            from: report.counted_from,
+            to: report.counted_to,
+            counts: report.counts.clone(),
+        }),
         experts: report.experts.iter().map(ids).collect(),
     }
 }
--- a/crates/core/src/experts/demand.rs
+++ b/crates/core/src/experts/demand.rs
@@ -1,4 +1,6 @@
-//! [`Demand`]: how often each expert is chosen lately, from counters that only grow.
+//! [`Demand`]: how often each expert is chosen lately.
+
+use super::Choices;
 
 /// Share of the demand that remains after one more pass, while popularity holds still.
 const KEPT: f64 = 0.75;
@@ -17,15 +19,6 @@
 /// Share of the ranks whose choices over several passes are enough to suspect a shift.
 const LOOK_QUORUM: f64 = 0.25;
 
-/// Choices of each expert, all sets after one another, since a rank started.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Counters {
-    /// The pass that they were read in.
-    pub step: u64,
-    /// How often each expert was chosen.
-    pub choices: Vec<u64>,
-}
-
 /// Readings of each rank over several passes after which they are taken for the new popularity, where
 /// no single pass is seen.
 const READINGS_UNSEEN: usize = 3;
@@ -43,8 +36,8 @@
         Self { choices: vec![0.0; len], readings: 0 }
     }
 
-    fn add(&mut self, choices: impl Iterator<Item = f64>) {
-        self.choices.iter_mut().zip(choices).for_each(|(sum, c)| *sum += c);
+    fn add(&mut self, counts: &[u64]) {
+        self.choices.iter_mut().zip(counts).for_each(|(sum, c)| *sum += *c as f64);
         self.readings += 1;
     }
 
@@ -70,7 +63,7 @@
 pub struct Demand {
     sets: usize,
     experts: usize,
-    seen: Vec<Option<Counters>>,
+    ranks: usize,
     weights: Vec<f64>,
     /// Choices of the newest pass alone, and which pass that is.
     pass: Gathered,
@@ -89,7 +82,7 @@
         Self {
             sets,
             experts,
-            seen: vec![None; ranks],
+            ranks,
             weights: vec![0.0; len],
             pass: Gathered::new(len),
             step: 0,
@@ -99,31 +92,24 @@
         }
     }
 
-    /// Takes the counters of a rank; those that went back belong to an engine that has started anew.
-    pub fn count(&mut self, rank: usize, counters: Counters) {
-        if counters.choices.len() != self.sets * self.experts || rank >= self.seen.len() {
+    /// Takes what one rank's requests chose.
+    pub fn count(&mut self, choices: &Choices) {
+        if choices.counts.len() != self.sets * self.experts {
             return;
         }
-        let step = counters.step;
-        let Some(before) = self.seen[rank].replace(counters) else { return };
-        let new = self.seen[rank].iter().flat_map(|c| &c.choices);
-        let deltas: Option<Vec<u64>> =
-            new.zip(&before.choices).map(|(new, old)| new.checked_sub(*old)).collect();
-        let Some(deltas) = deltas.filter(|_| step > before.step) else { return };
-        let choices = deltas.iter().map(|n| *n as f64);
-        if step == before.step + 1 && step >= self.step {
-            if step > self.step {
-                self.finish_pass();
-                self.step = step;
-            }
-            self.pass.add(choices);
-            if self.pass.readings as f64 >= PASS_QUORUM * self.seen.len() as f64 {
-                self.judge_pass();
-            }
-            return;
+        let step = choices.to;
+        if step != choices.from + 1 || step < self.step {
+            self.look.add(&choices.counts);
+            return self.judge_mixed();
+        }
+        if step > self.step {
+            self.finish_pass();
+            self.step = step;
+        }
+        self.pass.add(&choices.counts);
+        if self.pass.readings as f64 >= PASS_QUORUM * self.ranks as f64 {
+            self.judge_pass();
         }
-        self.look.add(choices);
-        self.judge_mixed();
     }
 
     /// Whether popularity has just shifted, so that ranks should be read once a pass.
@@ -169,7 +155,7 @@
 
     /// Judges choices over several passes: they may straddle a shift.
     fn judge_mixed(&mut self) {
-        let ranks = self.seen.len();
+        let ranks = self.ranks;
         let few = (self.look.readings as f64) < LOOK_QUORUM * ranks as f64;
         if few || !self.enough(&self.look) {
             return;
--- a/crates/core/src/experts/group.rs
+++ b/crates/core/src/experts/group.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use super::Counters;
+use super::Choices;
 use super::Demand;
 use super::ExpertId;
 use super::Handover;
@@ -32,8 +32,8 @@
 pub struct RankReading {
     /// The rank's state.
     pub view: RankView,
-    /// Choices of each expert since the rank started; none when they were not read this time.
-    pub counters: Option<Counters>,
+    /// What its requests chose since the report before, if that is known.
+    pub choices: Option<Choices>,
     /// Experts of the rank under its map, set by set; empty when they are not known.
     pub experts: Vec<Vec<ExpertId>>,
 }
@@ -80,7 +80,7 @@
 
     /// Takes what a rank says.
     pub fn report(&mut self, now: Instant, reading: RankReading) {
-        let RankReading { view, counters, experts } = reading;
+        let RankReading { view, choices, experts } = reading;
         let (rank, size, epoch, map) = (view.rank, view.size, view.epoch, view.map);
         self.handover.report(now, view);
         if rank >= size || epoch < self.epoch {
@@ -94,10 +94,10 @@
         if experts.len() == self.cfg.sets {
             self.held[rank] = Some((map, experts));
         }
-        if let Some(counters) = counters {
+        if let Some(choices) = choices {
             let (sets, experts) = (self.cfg.sets, self.cfg.experts);
             let demand = self.demand.get_or_insert_with(|| Demand::new(sets, experts, size));
-            demand.count(rank, counters);
+            demand.count(&choices);
         }
     }
 
--- a/crates/core/src/experts/mod.rs
+++ b/crates/core/src/experts/mod.rs
@@ -2,6 +2,7 @@
 
 mod balance;
 mod coordinator;
+mod counters;
 mod demand;
 mod gate;
 mod group;
@@ -19,7 +20,9 @@
 pub use coordinator::Coordinator;
 pub use coordinator::Orders;
 pub use coordinator::Phase;
-pub use demand::Counters;
+pub use counters::Choices;
+pub use counters::CounterReader;
+pub use counters::Counters;
 pub use demand::Demand;
 pub use gate::Gate;
 pub use gate::GateState;
--- a/crates/core/tests/moves.rs
+++ b/crates/core/tests/moves.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use crocustally_core::experts::Choices;
+use crocustally_core::experts::CounterReader;
 use crocustally_core::experts::Counters;
 use crocustally_core::experts::Demand;
 use crocustally_core::experts::LayerMap;
@@ -151,13 +153,15 @@
     const SHIFTED_AT: u64 = 20;
     let mut demand = Demand::new(1, 4, RANKS);
     let mut counters = vec![vec![0_u64; 4]; RANKS];
+    let mut readers = vec![CounterReader::default(); RANKS];
     for step in 0..60_u64 {
         let liked = if step < SHIFTED_AT { 0 } else { 3 };
         for (rank, c) in counters.iter_mut().enumerate() {
             c[liked] += 900;
             c[1] += 100;
             if (step + rank as u64).is_multiple_of(every) || demand.shifting() {
-                demand.count(rank, Counters { step, choices: c.clone() });
+                let read = readers[rank].read(Counters { step, counts: c.clone() });
+                read.iter().for_each(|choices| demand.count(choices));
             }
         }
         let shares = demand.shares(0);
@@ -186,13 +190,13 @@
 
 #[test]
 fn counters_of_a_restarted_rank_count_anew() {
-    let mut demand = Demand::new(1, 2, 1);
-    demand.count(0, Counters { step: 90, choices: vec![1_000_000, 0] });
-    for n in 1..5 {
-        demand.count(0, Counters { step: 90 + n, choices: vec![0, 5_000 * n] });
-    }
-    let shares = demand.shares(0).unwrap();
-    assert!(shares[1] > 0.9, "{shares:?}");
+    let mut reader = CounterReader::default();
+    let mut read = |step, counts: [u64; 2]| reader.read(Counters { step, counts: counts.to_vec() });
+    assert_eq!(read(90, [1_000_000, 0]), None);
+    assert_eq!(read(90, [1_000_000, 0]), None, "no pass since");
+    assert_eq!(read(92, [1_000_000, 7]), Some(Choices { from: 90, to: 92, counts: vec![0, 7] }));
+    assert_eq!(read(1, [0, 5_000]), None, "started anew");
+    assert_eq!(read(2, [0, 9_000]), Some(Choices { from: 1, to: 2, counts: vec![0, 4_000] }));
 }
 
 /// A quiet hour: single requests, each of its own kind, are no shift.
@@ -200,10 +204,10 @@
 fn few_requests_do_not_look_like_a_shift() {
     let mut rng = ChaCha8Rng::seed_from_u64(9);
     let mut demand = Demand::new(1, EXPERTS, RANKS);
-    let mut counters = vec![vec![0_u64; EXPERTS]; RANKS];
     let liked = shares(&mut rng);
     let mut shifts = 0;
-    for step in 0..200_u64 {
+    for step in 1..200_u64 {
+        let mut counts = vec![vec![0_u64; EXPERTS]; RANKS];
         let busy = rng.random_range(0..RANKS);
         for _ in 0..240 {
             let mut draw = rng.random::<f64>();
@@ -211,10 +215,10 @@
                 draw -= s;
                 draw < 0.0
             });
-            counters[busy][expert.unwrap_or(0)] += 1;
+            counts[busy][expert.unwrap_or(0)] += 1;
         }
-        for (rank, c) in counters.iter().enumerate() {
-            demand.count(rank, Counters { step, choices: c.clone() });
+        for counts in counts {
+            demand.count(&Choices { from: step - 1, to: step, counts });
         }
         shifts += usize::from(demand.shifting() && step > 20);
     }
@@ -227,13 +231,13 @@
     let mut rng = ChaCha8Rng::seed_from_u64(4);
     let mut demand = Demand::new(1, EXPERTS, 1);
     let liked = shares(&mut rng);
-    let mut counters = vec![0_u64; EXPERTS];
-    for pass in 0..40_u64 {
-        for (c, share) in counters.iter_mut().zip(&liked) {
+    for pass in 1..40_u64 {
+        let noisy = |share: &f64| {
             let noise = 1.0 + 0.2 * (rng.random::<f64>() - 0.5);
-            *c += (share * 16_000.0 * noise) as u64;
-        }
-        demand.count(0, Counters { step: pass, choices: counters.clone() });
+            (share * 16_000.0 * noise) as u64
+        };
+        let counts = liked.iter().map(noisy).collect();
+        demand.count(&Choices { from: pass - 1, to: pass, counts });
     }
     let measured = demand.shares(0).unwrap();
     for (m, l) in measured.iter().zip(&liked) {
--- a/crates/rank/src/agent.rs
+++ b/crates/rank/src/agent.rs
@@ -9,7 +9,8 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use crocustally_core::experts::Counters;
+use crocustally_core::experts::Choices;
+use crocustally_core::experts::CounterReader;
 use crocustally_core::experts::ExpertId;
 use crocustally_net::Channel;
 use crocustally_net::Clock;
@@ -63,7 +64,8 @@
 #[derive(Clone, Debug, Default)]
 struct Reading {
     state: EngineState,
-    counters: Option<Counters>,
+    counters: CounterReader,
+    choices: Option<Choices>,
     counted: Option<Instant>,
     experts: Option<HeldExperts>,
 }
@@ -118,7 +120,7 @@
             });
             let read_at = self.clock.now();
             let report = self.report(&reading, std::mem::take(&mut results));
-            reading.counters = None;
+            reading.choices = None;
             let Some(Ok(orders)) = timeout(REPORT_TIMEOUT, client.attend(report)).await else {
                 log::warn!(control = address.to_string().as_str(); "coordinator does not answer");
                 sleep(RETRY_PAUSE).await;
@@ -180,7 +182,8 @@
         let due =
             reading.counted.is_none_or(|at| now.saturating_duration_since(at) >= COUNT_PERIOD);
         if due && let Some(body) = self.get(engine, self.dialect.counters_path()).await {
-            reading.counters = self.dialect.counters(&body);
+            let counters = self.dialect.counters(&body);
+            reading.choices = counters.and_then(|c| reading.counters.read(c));
             reading.counted = Some(now);
         }
         let view = &reading.state.view;
@@ -201,6 +204,7 @@
         let state = &reading.state;
         let view = &state.view;
         let address = self.cfg.engine.to_string();
+        let choices = reading.choices.clone().unwrap_or_default();
         let (armed, armed_step) = view.armed.unwrap_or_default();
         let experts = reading.experts.as_ref().map(|h| h.sets.as_slice()).unwrap_or_default();
         let list =
@@ -226,8 +230,9 @@
             armed,
             armed_step,
             held: view.held,
-            counts: reading.counters.as_ref().map(|c| c.choices.clone()).unwrap_or_default(),
-            counts_step: reading.counters.as_ref().map_or(0, |c| c.step),
+            counts: choices.counts,
+            counted_from: choices.from,
+            counted_to: choices.to,
             experts: experts.iter().map(list).collect(),
             results,
         }
