Streams are spread over engines up to one level, not all to the least loaded

Cause: gateways hear of loads 0.2 to 0.4 s late and each sent to the engine that looked least loaded; sixteen of them together overfilled it. Change: engines are drawn by how far they lie below the level up to which the requests of all gateways since the last reports fill them; requests that ended since the report count as gone.

--- a/crates/core/src/dispatch/member.rs
+++ b/crates/core/src/dispatch/member.rs
@@ -151,6 +151,18 @@
         }
     }
 
+    /// Requests there as far as this gateway can tell, to compare endpoints by; without a report the
+    /// others of `gateways` gateways are taken to have sent as many.
+    pub fn expected_load(&self, now: Instant, gateways: u32) -> f64 {
+        match &self.rank {
+            Some(r) if !self.report_is_stale(now) => {
+                let reported = f64::from(r.running + r.queued + self.sent_since);
+                (reported - f64::from(self.ended_since)).max(f64::from(self.in_flight))
+            }
+            _ => f64::from(gateways) * f64::from(self.in_flight),
+        }
+    }
+
     /// Requests there from `gateways` gateways, of which the others are taken to have sent and ended
     /// as many since the last report as this one.
     pub fn shared_load(&self, now: Instant, gateways: u32) -> f64 {
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use smallvec::SmallVec;
 
 use super::Ended;
@@ -16,6 +18,7 @@
 use super::RankState;
 use super::Ticket;
 use super::Window;
+use super::draw;
 use super::waiting::Waiter;
 use super::waiting::Waiting;
 use crate::Code;
@@ -43,6 +46,8 @@
     pub gateways_known: u32,
     /// Connections that one endpoint takes from all gateways together.
     pub connections_max: u32,
+    /// Seed of the draws among engines, another one at each gateway.
+    pub seed: u64,
 }
 
 impl Default for PoolSettings {
@@ -57,6 +62,7 @@
             gateways: 8,
             gateways_known: 4,
             connections_max: 256,
+            seed: 0,
         }
     }
 }
@@ -134,6 +140,7 @@
     /// Until when places are promised to callers that were told to come back.
     promised_until: Option<Instant>,
     turn: u32,
+    rng: ChaCha8Rng,
 }
 
 impl Pool {
@@ -143,6 +150,7 @@
             limiter: cfg.limiter.map(Limiter::new),
             requests: Window::new(cfg.retry_span),
             repeats: Window::new(cfg.retry_span),
+            rng: ChaCha8Rng::seed_from_u64(cfg.seed),
             cfg,
             members: BTreeMap::new(),
             by_id: BTreeMap::new(),
@@ -372,7 +380,7 @@
         self.turn = self.turn.wrapping_add(1);
         let keys: SmallVec<[MemberKey; 32]> = self.members.keys().copied().collect();
         let start = self.turn as usize;
-        let mut best: Option<(f64, MemberKey)> = None;
+        let mut fitting: SmallVec<[(MemberKey, f64); 32]> = SmallVec::new();
         for i in 0..keys.len() {
             // Equal members take turns.
             let key = keys[(start + i) % keys.len()];
@@ -383,12 +391,24 @@
                 continue;
             }
             let score = self.score(now, m, prompt);
-            let bears = self.members.get_mut(&key).is_some_and(|m| m.bears_cold(now, cold));
-            if bears && best.is_none_or(|(b, _)| score < b) {
-                best = Some((score, key));
+            if self.members.get_mut(&key).is_some_and(|m| m.bears_cold(now, cold)) {
+                fitting.push((key, score));
             }
         }
-        best.map(|(_, key)| key)
+        if self.limiter.is_none() {
+            let least = fitting.iter().min_by(|a, b| a.1.total_cmp(&b.1));
+            return least.map(|(key, _)| *key);
+        }
+        let loads: SmallVec<[f64; 32]> = fitting.iter().map(|(_, load)| *load).collect();
+        let drawn = draw(&loads, self.sent_by_others(), &mut self.rng)?;
+        Some(fitting[drawn].0)
+    }
+
+    /// Requests that the other gateways are taken to have sent since the endpoints' last reports: as
+    /// many each as this one.
+    fn sent_by_others(&self) -> f64 {
+        let own: u32 = self.members.values().map(|m| m.sent_since).sum();
+        f64::from(own) * f64::from(self.cfg.gateways_known.saturating_sub(1))
     }
 
     /// Whether all gateways together keep as many streams in flight as passes bear.
@@ -408,7 +428,7 @@
         let far = if m.known.beat.domain == self.cfg.domain { 1.0 } else { OTHER_DOMAIN };
         if self.limiter.is_some() {
             let reading = (m.prompt_waiting + u64::from(prompt)) as f64 / PROMPT_PER_REQUEST;
-            return f64::from(m.load(now)) + reading + (far - 1.0);
+            return m.expected_load(now, self.cfg.gateways_known) + reading + (far - 1.0);
         }
         let latency = m.latency_ms(now).unwrap_or_else(|| self.least_latency_ms(now));
         let failing = 1.0 + FAILURE_WEIGHT * m.failure_share(now);
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -19,6 +19,9 @@
 use crocustally_core::fleet::Beat;
 use crocustally_core::fleet::BeatState;
 use crocustally_core::fleet::Known;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -303,3 +306,79 @@
     suspicion.death(now + Duration::from_secs(121), other, "e9");
     assert!(!suspicion.refuses(bad));
 }
+
+/// One stream of the herding pattern: when it ends, which gateway sent it, and its endpoint.
+struct Running {
+    ends: Instant,
+    gateway: usize,
+    key: MemberKey,
+    endpoint: usize,
+}
+
+/// Sixteen gateways send 270 streams a second to 72 engines whose loads they hear of a fifth of a
+/// second late, so at any moment the same few engines look least loaded to all of them. Answers the
+/// share of streams that find their engine full.
+fn full_on_arrival(seed: u64) -> f64 {
+    const GATEWAYS: usize = 16;
+    const ENGINES: u8 = 72;
+    const SLOTS: u32 = 10;
+    let start = Instant::now();
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let cfg = |gateway: usize| PoolSettings {
+        limiter: Some(LimiterSettings::default()),
+        gateways: GATEWAYS as u32 + 4,
+        gateways_known: GATEWAYS as u32,
+        seed: seed * 100 + gateway as u64,
+        ..PoolSettings::default()
+    };
+    let mut pools: Vec<Pool> = (0..GATEWAYS).map(|g| pool(start, cfg(g), 0)).collect();
+    for n in 0..ENGINES {
+        let mut k = known(start, n);
+        k.beat.slots = SLOTS;
+        pools.iter_mut().for_each(|p| p.learn(&k));
+    }
+    let mut running: Vec<Running> = Vec::new();
+    let mut loads = [0_u32; ENGINES as usize];
+    let mut late: std::collections::VecDeque<(Instant, usize, RankState)> = Default::default();
+    let (mut sent_total, mut full) = (0, 0);
+    for ms in 0..6000_u32 {
+        let now = start + ms * MS;
+        for i in (0..running.len()).rev().filter(|i| running[*i].ends <= now).collect::<Vec<_>>() {
+            let r = running.swap_remove(i);
+            loads[r.endpoint] -= 1;
+            let _ = pools[r.gateway].finished(now, r.key, Ended::Whole, 1500 * MS);
+        }
+        // Each engine is read every 200 ms in its turn; word of it takes 150 ms.
+        for n in (0..usize::from(ENGINES)).filter(|n| (ms as usize + n * 25).is_multiple_of(200)) {
+            late.push_back((now + 150 * MS, n, rank(now, loads[n], true)));
+        }
+        while late.front().is_some_and(|(at, ..)| *at <= now) {
+            let (_, n, state) = late.pop_front().unwrap();
+            pools.iter_mut().for_each(|p| p.report(address(n as u8), state));
+        }
+        if !rng.random_bool(0.27) {
+            continue;
+        }
+        let gateway = rng.random_range(0..GATEWAYS);
+        let Verdict::Send(key) = pools[gateway].ask(now, &Ask { prompt: 800, ..ask(now) }) else {
+            continue;
+        };
+        let at = pools[gateway].member(key).unwrap().address();
+        let endpoint = (0..ENGINES).position(|n| address(n) == at).unwrap();
+        pools[gateway].began(now, key, 800, 100 * MS);
+        sent_total += 1;
+        full += u32::from(loads[endpoint] >= SLOTS);
+        loads[endpoint] += 1;
+        let ends = now + MS * rng.random_range(200..3000);
+        running.push(Running { ends, gateway, key, endpoint });
+    }
+    f64::from(full) / f64::from(sent_total)
+}
+
+#[test]
+fn gateways_that_hear_of_loads_late_do_not_all_pick_the_same_engine() {
+    for seed in 0..4 {
+        let full = full_on_arrival(seed);
+        assert!(full < 0.01, "seed {seed}: {full:.3} of the streams found a full engine");
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use std::sync::RwLock;
 use std::time::Duration;
 
+use crocustally_core::Digest;
 use crocustally_core::dispatch::LimiterSettings;
 use crocustally_core::dispatch::PoolSettings;
 use crocustally_core::dispatch::Suspicion;
@@ -215,6 +216,7 @@
             gateways: gateways_known + GATEWAYS_UNKNOWN,
             gateways_known,
             connections_max: service.connections_max,
+            seed: Digest::of(&[self.cfg.name.as_bytes()]).to_u64(),
         }
     }
 
