Agents do not go back to a silent leader that followers still name

Another was elected 1.0 s later, but agents reached it only 1.5 s after that: each report to the frozen one took 700 ms, and followers kept naming it. A pass that was held when it froze stood still for 2.4 s. Change: `LeaderSearch` passes over an instance that was silent within 2 s; a report is given 450 ms (agents wait for orders 225 ms at most). Ruled out: the election itself (0.9 to 1.4 s without word, as designed).

--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -95,8 +95,8 @@
     /// The orders for the agent that has just reported.
     pub(crate) fn orders(&mut self, now: Instant, report: &wire::RankReport) -> Told {
         let ranks: usize = self.groups.values().map(|g| g.engines.len()).sum();
-        let idle = (IDLE_WAIT_PER_RANK * ranks as u32).max(PASS_WAIT);
-        let held = (HELD_WAIT_PER_RANK * ranks as u32).max(HELD_WAIT);
+        let idle = (IDLE_WAIT_PER_RANK * ranks as u32).clamp(PASS_WAIT, WAIT_MAX);
+        let held = (HELD_WAIT_PER_RANK * ranks as u32).clamp(HELD_WAIT, WAIT_MAX);
         match self.groups.get_mut(&key(report)) {
             Some(group) => group.orders(now, report.rank as usize, idle, held),
             None => Told::Wait { changed: Event::new().listen(), time: idle },
@@ -107,6 +107,8 @@
 /// Longest time that an agent waits while nothing is under way, for each rank: the coordinator's
 /// processor time does not grow with them.
 const IDLE_WAIT_PER_RANK: Duration = Duration::from_micros(2800);
+/// Longest time that an agent waits whatever their number: half of what it gives an answer.
+const WAIT_MAX: Duration = Duration::from_millis(225);
 /// Longest time that an agent waits where every pass should be seen: passes take longer.
 const PASS_WAIT: Duration = Duration::from_millis(45);
 /// The same once copies should have arrived, and while a pass may be held back, when orders may have
--- a/crates/rank/src/agent.rs
+++ b/crates/rank/src/agent.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
@@ -37,6 +38,7 @@
 use crate::EngineDialect;
 use crate::EngineOrder;
 use crate::EngineState;
+use crate::LeaderSearch;
 use crate::RankSettings;
 
 /// Least time between two readings of the counters: passes take longer.
@@ -48,7 +50,7 @@
 /// Longest time for the answer to an order: an engine answers at once or carries it out later.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Longest time for the coordinator's answer, and the age of a report at which its orders lapse.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(700);
+const REPORT_TIMEOUT: Duration = Duration::from_millis(450);
 
 /// The agent beside one engine.
 pub struct RankAgent {
@@ -56,7 +58,7 @@
     rt: Runtime,
     clock: Arc<dyn Clock>,
     dialect: Arc<dyn EngineDialect>,
-    controls: Mutex<Vec<SocketAddr>>,
+    search: Mutex<LeaderSearch>,
     clients: Mutex<HashMap<SocketAddr, Arc<HttpClient>>>,
 }
 
@@ -87,50 +89,55 @@
         shutdown: Shutdown,
         dialect: Arc<dyn EngineDialect>,
     ) -> Arc<Self> {
-        let controls = Mutex::new(cfg.controls.clone());
+        let search = Mutex::new(LeaderSearch::new(&cfg.controls));
         let clients = Mutex::new(HashMap::new());
-        let agent = Arc::new(Self { cfg, rt: rt.clone(), clock, dialect, controls, clients });
+        let agent = Arc::new(Self { cfg, rt: rt.clone(), clock, dialect, search, clients });
         rt.spawn(agent.clone().run(shutdown));
         agent
     }
 
     /// Takes the control instances of new settings.
     pub fn follow(&self, controls: &[SocketAddr]) {
-        let mut known = self.controls.lock().unwrap_or_else(PoisonError::into_inner);
-        for address in controls {
-            if !known.contains(address) {
-                known.push(*address);
-            }
-        }
+        self.search().learn(controls);
+    }
+
+    fn search(&self) -> MutexGuard<'_, LeaderSearch> {
+        self.search.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     async fn run(self: Arc<Self>, shutdown: Shutdown) {
         let mut reading = Reading::default();
         let mut results = Vec::new();
         let mut coordinator: Option<(SocketAddr, ControlClient<Channel>)> = None;
-        let mut turn = 0;
         while !shutdown.asked() {
             if !self.read(&mut reading).await {
                 sleep(RETRY_PAUSE).await;
                 continue;
             }
-            let (address, mut client) = coordinator.take().unwrap_or_else(|| {
-                turn += 1;
-                self.connect(self.control(turn))
-            });
             let read_at = self.clock.now();
+            let next = coordinator.take().or_else(|| {
+                let next = self.search().next(read_at);
+                next.map(|address| self.connect(address))
+            });
+            let Some((address, mut client)) = next else {
+                sleep(RETRY_PAUSE).await;
+                continue;
+            };
             let report = self.report(&reading, std::mem::take(&mut results));
             reading.choices = None;
             let Some(Ok(orders)) = timeout(REPORT_TIMEOUT, client.attend(report)).await else {
                 log::warn!(control = address.to_string().as_str(); "coordinator does not answer");
+                self.search().silent(self.clock.now(), address);
                 sleep(RETRY_PAUSE).await;
                 continue;
             };
             let RankOrders { code, leader, orders } = orders.into_inner();
             if code != 0 {
-                match leader.parse() {
-                    Ok(leader) => coordinator = Some(self.connect(leader)),
-                    Err(_) => sleep(RETRY_PAUSE).await,
+                let leader: Option<SocketAddr> = leader.parse().ok();
+                let leader = leader.and_then(|l| self.search().told(self.clock.now(), l));
+                match leader {
+                    Some(leader) => coordinator = Some(self.connect(leader)),
+                    None => sleep(RETRY_PAUSE).await,
                 }
                 continue;
             }
@@ -146,13 +153,7 @@
         }
     }
 
-    fn control(&self, turn: usize) -> SocketAddr {
-        let known = self.controls.lock().unwrap_or_else(PoisonError::into_inner);
-        known[turn % known.len()]
-    }
-
     fn connect(&self, address: SocketAddr) -> (SocketAddr, ControlClient<Channel>) {
-        self.follow(&[address]);
         let channel = Channel::new(&self.rt, address);
         (address, ControlClient::with_origin(channel.clone(), channel.origin()))
     }
--- a/crates/rank/src/lib.rs
+++ b/crates/rank/src/lib.rs
@@ -6,11 +6,13 @@
 
 mod agent;
 mod dialect;
+mod leader_search;
 mod settings;
 
 pub use agent::RankAgent;
 pub use dialect::EngineDialect;
 pub use dialect::EngineOrder;
 pub use dialect::EngineState;
+pub use leader_search::LeaderSearch;
 pub use settings::RankSettings;
 pub use settings::RawRankSettings;
