A replica that has just started stands for election soon

Change: the first election timeout after a start is that of a failed candidate (150 to 450 ms). Ruled out: deposing a living leader; whoever hears one gives no vote. Tests: `raft::instances_that_all_restart_at_once_…`, failing before; `raft::an_instance_that_restarts_alone_…`.

--- a/crates/core/src/raft/replica.rs
+++ b/crates/core/src/raft/replica.rs
@@ -26,7 +26,8 @@
 pub const ELECTION_MIN: Duration = Duration::from_millis(900);
 /// Most of the random time added to it.
 const ELECTION_SPREAD: Duration = Duration::from_millis(500);
-/// Least time before a candidate that was not elected stands again.
+/// Least time before a candidate that was not elected stands again, and before one that has just
+/// started stands at all.
 const STAND_AGAIN_MIN: Duration = Duration::from_millis(150);
 /// Most of the random time added to it.
 const STAND_AGAIN_SPREAD: Duration = Duration::from_millis(300);
@@ -131,7 +132,8 @@
             rng: ChaCha8Rng::seed_from_u64(seed ^ id.0),
             out: Ready::default(),
         };
-        replica.reset_election(now);
+        // Nobody is disturbed by one that stands early: whoever hears a leader gives it no vote.
+        replica.election_at = now + replica.stand_again_after();
         replica
     }
 
@@ -303,6 +305,10 @@
         self.election_at = now + ELECTION_MIN + self.spread(ELECTION_SPREAD);
     }
 
+    fn stand_again_after(&mut self) -> Duration {
+        STAND_AGAIN_MIN + self.spread(STAND_AGAIN_SPREAD)
+    }
+
     fn spread(&mut self, most: Duration) -> Duration {
         Duration::from_millis(self.rng.random_range(0..=most.as_millis() as u64))
     }
@@ -327,7 +333,7 @@
     }
 
     fn stand(&mut self, now: Instant, pre: bool) {
-        self.election_at = now + STAND_AGAIN_MIN + self.spread(STAND_AGAIN_SPREAD);
+        self.election_at = now + self.stand_again_after();
         self.leader = None;
         self.votes = vec![self.id];
         if pre {
--- a/crates/core/tests/raft.rs
+++ b/crates/core/tests/raft.rs
@@ -188,3 +188,33 @@
     assert_eq!(config.version, 1);
     assert!(config.domains.contains_key("ours"));
 }
+
+#[test]
+fn instances_that_all_restart_at_once_have_a_leader_soon() {
+    for seed in 0..20 {
+        let mut c = settled(seed);
+        c.run(2 * SECOND);
+        (0..INSTANCES).for_each(|i| c.kill(i));
+        c.run(SECOND);
+        (0..INSTANCES).for_each(|i| c.start(i));
+        let led = c.run_until(SECOND * 8 / 10, |c| c.leader().is_some());
+        assert!(led, "seed {seed}: nobody leads 0.8 s after all were back");
+    }
+}
+
+#[test]
+fn an_instance_that_restarts_alone_does_not_depose_the_leader() {
+    for seed in 0..20 {
+        let mut c = settled(seed);
+        let leader = c.leader().unwrap();
+        let term = c.replica(leader).unwrap().term();
+        for other in (0..INSTANCES).filter(|i| *i != leader) {
+            c.kill(other);
+            c.run(SECOND / 10);
+            c.start(other);
+            c.run(SECOND);
+        }
+        assert_eq!(c.leader(), Some(leader), "seed {seed}");
+        assert_eq!(c.replica(leader).unwrap().term(), term, "seed {seed}");
+    }
+}
