Bounds on passes follow from the pause that routes promise

Change: `pass_bound_share` and `pass_target_share` of the shortest promised pause replace the times in milliseconds; on today's sites nothing changes.

--- a/crates/core/src/traffic/policy.rs
+++ b/crates/core/src/traffic/policy.rs
@@ -123,6 +123,13 @@
         &self.routes
     }
 
+    /// The shortest pause between events that any route to a service promises.
+    pub fn shortest_gap(&self, service: &str) -> Option<Duration> {
+        let key = self.services.iter().position(|s| s.name == service)?;
+        let to_it = |r: &&Route| r.targets.iter().any(|t| usize::from(t.service.0) == key);
+        self.routes.iter().filter(to_it).filter_map(|r| r.gap).min()
+    }
+
     /// What callers may send.
     pub fn limits(&self) -> CallerLimits {
         self.limits
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -41,6 +41,8 @@
 /// takes two missed checks, a second apart, to send them elsewhere.
 const LINGER: Duration = Duration::from_millis(2500);
 
+/// Pause between events that is promised where no route says one: twice the usual time of a pass.
+const GAP_UNKNOWN: Duration = Duration::from_millis(120);
 /// Skew right after a shift of popularity, before a new map is in force.
 const SHIFT_SKEW: f64 = 2.2;
 /// Prompts that a rank reads in one pass on the mean: answers take some twenty passes, and a rank
@@ -171,7 +173,7 @@
         known.unwrap_or_else(|| {
             let policy = self.policy();
             let of = |p: &Arc<TrafficPolicy>| {
-                p.services().iter().find(|s| s.name == service).map(|s| self.pool_settings(s))
+                p.services().iter().find(|s| s.name == service).map(|s| self.pool_settings(p, s))
             };
             let cfg = policy.as_ref().and_then(of).unwrap_or_default();
             let fresh = Arc::new(Places::new(cfg, self.clock.clone()));
@@ -189,18 +191,19 @@
     pub(crate) fn configure_pools(&self) {
         let Some(policy) = self.policy() else { return };
         for service in policy.services() {
-            let cfg = self.pool_settings(service);
+            let cfg = self.pool_settings(&policy, service);
             self.places(&service.name).with(|pool| pool.configure(cfg));
         }
     }
 
-    fn pool_settings(&self, service: &ServicePolicy) -> PoolSettings {
+    fn pool_settings(&self, policy: &TrafficPolicy, service: &ServicePolicy) -> PoolSettings {
         let gateways_known = self.beliefs().gateways.max(1);
+        let gap = policy.shortest_gap(&service.name).unwrap_or(GAP_UNKNOWN);
         let limiter = service.engine.as_ref().map(|e| LimiterSettings {
-            pass_target: self.cfg.pass_target,
+            pass_target: gap.mul_f64(self.cfg.pass_target_share),
             pass_fixed: e.step * e.stride,
             per_endpoint: e.requests_within(
-                self.cfg.pass_bound,
+                gap.mul_f64(self.cfg.pass_bound_share),
                 READING_SHARE * f64::from(e.usual_prompt),
                 SHIFT_SKEW,
             ),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crocustally_core::dispatch::LimiterSettings;
 use crocustally_net::AdminSettings;
 use crocustally_net::LogFormat;
 use crocustally_net::SettingsError;
@@ -45,12 +44,13 @@
     /// Requests a second that a cold endpoint gets besides, over all gateways.
     #[serde(default = "default_cold_slack")]
     pub cold_slack: f64,
-    /// Mean time of a pass that the streams in flight are held to, in milliseconds.
+    /// Mean time of a pass that the streams in flight are held to, as a share of the shortest pause
+    /// that routes promise.
     #[serde(default = "default_pass_target")]
-    pub pass_target_ms: f64,
-    /// Longest pass that a shift of popularity may cause, in milliseconds.
+    pub pass_target_share: f64,
+    /// Longest pass that a shift of popularity may cause, as a share of that pause.
     #[serde(default = "default_pass_bound")]
-    pub pass_bound_ms: f64,
+    pub pass_bound_share: f64,
     /// Threads that run it.
     #[serde(default = "default_threads")]
     pub threads: usize,
@@ -86,12 +86,14 @@
     0.0
 }
 
+/// Best of the shares that were measured on sites that promise 120 ms (docs/PLATFORM.md).
 fn default_pass_target() -> f64 {
-    LimiterSettings::default().pass_target.as_secs_f64() * 1e3
+    1.17
 }
 
+/// As above.
 fn default_pass_bound() -> f64 {
-    92.0
+    0.77
 }
 
 fn default_threads() -> usize {
@@ -123,10 +125,11 @@
     pub cold_factor: f64,
     /// Requests a second that a cold endpoint gets besides, over all gateways.
     pub cold_slack: f64,
-    /// Mean time of a pass that the streams in flight are held to.
-    pub pass_target: Duration,
-    /// Longest pass that a shift of popularity may cause.
-    pub pass_bound: Duration,
+    /// Mean time of a pass that the streams in flight are held to, as a share of the shortest pause
+    /// that routes promise.
+    pub pass_target_share: f64,
+    /// Longest pass that a shift of popularity may cause, as a share of that pause.
+    pub pass_bound_share: f64,
     /// Threads that run it.
     pub threads: usize,
     /// How log lines are written.
@@ -155,8 +158,11 @@
                 return Err(SettingsError::invalid(key, "must be 0 or more"));
             }
         }
-        for (key, n) in [("retry_span_s", raw.retry_span_s), ("pass_target_ms", raw.pass_target_ms)]
-        {
+        for (key, n) in [
+            ("retry_span_s", raw.retry_span_s),
+            ("pass_target_share", raw.pass_target_share),
+            ("pass_bound_share", raw.pass_bound_share),
+        ] {
             if !n.is_finite() || n <= 0.0 {
                 return Err(SettingsError::invalid(key, "must be more than 0"));
             }
@@ -181,8 +187,8 @@
             retry_slack: raw.retry_slack,
             cold_factor: raw.cold_factor,
             cold_slack: raw.cold_slack,
-            pass_target: Duration::from_secs_f64(raw.pass_target_ms / 1e3),
-            pass_bound: Duration::from_secs_f64(raw.pass_bound_ms / 1e3),
+            pass_target_share: raw.pass_target_share,
+            pass_bound_share: raw.pass_bound_share,
             threads: raw.threads,
             log: raw.log,
             admin: raw.admin.map(|a| a.check()).transpose()?,
