Callers that came back wait out a short outage; a starting gateway waits for its policy

Cause: after a final fault processes were back at 47.45 s, policies in force at 47.67, yet 443 of 541 requests of that window were refused: they had failed once on machines without power, came back to a gateway without policy or endpoints, and a second refusal is final for callers that repeat once. Change: a request waits for the first policy up to 1.2 s or a quarter of its time; one that came back, or that meets a gateway in its first 3 s, waits while no endpoint takes work, as long as the outage is younger than 2.3 s (a group stalls and forms in about that). Ruled out: waiting in long outages, where a refusal would only come late.

--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -76,6 +76,8 @@
     pub prompt: u32,
     /// When the request is refused rather than started.
     pub start_by: Instant,
+    /// The same while no endpoint takes work, which mostly ends soon.
+    pub outage_by: Instant,
     /// Members that it has been sent to already.
     pub tried: SmallVec<[MemberKey; 2]>,
     /// Whether it has been sent to an endpoint before, so that this draws on the retry budget.
@@ -120,6 +122,9 @@
 const RETRY_MIN: Duration = Duration::from_millis(250);
 /// Most time that a refused caller is told to stay away.
 const RETRY_MAX: Duration = Duration::from_millis(2500);
+/// How long it mostly takes until an endpoint takes work again: a group stalls, forms anew, and says
+/// so; endpoints make themselves known to a gateway that has just started.
+const OUTAGE_USUAL: Duration = Duration::from_millis(2300);
 /// Time to come back while no endpoint takes work: about what a group needs to form again.
 const RETRY_NONE: Duration = Duration::from_millis(1200);
 
@@ -139,6 +144,8 @@
     repeats: Window,
     /// Until when places are promised to callers that were told to come back.
     promised_until: Option<Instant>,
+    /// Since when no endpoint has taken work, as far as requests have noticed.
+    outage_since: Option<Instant>,
     turn: u32,
     rng: ChaCha8Rng,
 }
@@ -160,6 +167,7 @@
             waiting: Waiting::default(),
             hold_ms: Ewma::default(),
             promised_until: None,
+            outage_since: None,
             turn: 0,
         }
     }
@@ -263,21 +271,31 @@
             return Verdict::Send(key);
         }
         if !self.any_usable(now, &ask.tried) {
-            return self.refuse(Code::NoEndpoint, RETRY_NONE);
+            let began = *self.outage_since.get_or_insert(now);
+            let ends = began + OUTAGE_USUAL;
+            if now >= ends || ask.outage_by < ends {
+                return self.refuse(Code::NoEndpoint, RETRY_NONE);
+            }
+            return Verdict::Wait(self.wait(ask, ends));
         }
+        self.outage_since = None;
         let wait = self.expected_wait(now, self.waiting.ahead(ask.rank) + 1);
         if now + wait > ask.start_by {
             let retry_after = self.promise(now);
             return self.refuse(Code::Overloaded, retry_after);
         }
-        Verdict::Wait(self.waiting.push(Waiter {
+        Verdict::Wait(self.wait(ask, ask.start_by))
+    }
+
+    fn wait(&mut self, ask: &Ask, until: Instant) -> Ticket {
+        self.waiting.push(Waiter {
             ticket: Ticket(0),
             rank: ask.rank,
-            until: ask.start_by,
+            until,
             prompt: ask.prompt,
             retry_after: RETRY_MIN,
             tried: ask.tried.clone(),
-        }))
+        })
     }
 
     /// Takes a waiting request out again.
@@ -345,6 +363,7 @@
 
     fn take(&mut self, now: Instant, key: MemberKey, prompt: u32, repeat: bool) {
         self.in_flight += 1;
+        self.outage_since = None;
         if repeat {
             self.repeats.add(now);
         }
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -51,7 +51,14 @@
 }
 
 fn ask(now: Instant) -> Ask {
-    Ask { rank: 0, prompt: 0, start_by: now + 150 * MS, tried: Default::default(), repeat: false }
+    Ask {
+        rank: 0,
+        prompt: 0,
+        start_by: now + 150 * MS,
+        outage_by: now,
+        tried: Default::default(),
+        repeat: false,
+    }
 }
 
 fn sent(verdict: Verdict) -> MemberKey {
@@ -229,6 +236,34 @@
     sent(pool.ask(now + 2 * MS, &ask(now)));
 }
 
+/// A rank has died: its group stalls, says so, and forms again two seconds later.
+#[test]
+fn a_caller_that_came_back_waits_out_a_short_outage_and_is_refused_in_a_long_one() {
+    let start = Instant::now();
+    let limiter = Some(LimiterSettings::default());
+    let mut pool = pool(start, PoolSettings { limiter, ..PoolSettings::default() }, 3);
+    (0..3).for_each(|n| pool.report(address(n), rank(start, 0, false)));
+    let returned = |now| Ask { outage_by: now + 2500 * MS, ..ask(now) };
+    assert!(
+        matches!(pool.ask(start, &ask(start)), Verdict::Refuse(_)),
+        "others are refused at once"
+    );
+    let waits = pool.ask(start + 300 * MS, &returned(start + 300 * MS));
+    let Verdict::Wait(ticket) = waits else { panic!("{waits:?}") };
+    let now = start + 2000 * MS;
+    (0..3).for_each(|n| pool.report(address(n), rank(now, 0, true)));
+    let grants = pool.tick(now);
+    assert!(matches!(grants[..], [(t, Ok(_))] if t == ticket), "{grants:?}");
+
+    let now = now + 1000 * MS;
+    (0..3).for_each(|n| pool.report(address(n), rank(now, 0, false)));
+    let Verdict::Wait(_) = pool.ask(now, &returned(now)) else { panic!("the outage has begun") };
+    let later = now + 2400 * MS;
+    assert!(matches!(pool.tick(later)[..], [(_, Err(_))]), "refused when it lasts");
+    (0..3).for_each(|n| pool.report(address(n), rank(later, 0, false)));
+    assert!(matches!(pool.ask(later, &returned(later)), Verdict::Refuse(_)), "refused at once");
+}
+
 #[test]
 fn gateways_together_do_not_overfill_a_group_between_reports() {
     let now = Instant::now();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -34,6 +34,8 @@
 const PLAIN_WAIT_SHARE: f64 = 0.5;
 /// Longest wait for a place of a request that has missed its objective already.
 const LATE_WAIT: Duration = Duration::from_millis(120);
+/// Share of its time that a caller may wait for an endpoint to take work again.
+const OUTAGE_SHARE: f64 = 0.4;
 /// A caller whose patience is this much below the route's timeout has been here before.
 const RETURNED_AFTER: Duration = Duration::from_millis(250);
 
@@ -98,12 +100,27 @@
         (self.arrived + objective.saturating_sub(FIRST_EVENT_TIME)).max(late_start)
     }
 
+    /// When the request is refused while no endpoint takes work: one that came back from a refusal
+    /// has no other chance, and one that has just found its gateway starting likely has none either.
+    fn outage_by(&self) -> Instant {
+        if self.returned() || self.gateway.is_starting() {
+            return self.arrived + self.patience().mul_f64(OUTAGE_SHARE);
+        }
+        self.arrived
+    }
+
+    /// How long the caller waits.
+    fn patience(&self) -> Duration {
+        self.end.saturating_duration_since(self.arrived)
+    }
+
     /// Finds a place; `again` says whether the request may have been sent before.
     pub(crate) async fn place(&mut self, again: bool) -> Result<Place, Refusal> {
         let ask = Ask {
             rank: 2 * self.rank + u8::from(self.returned()),
             prompt: self.meta.prompt_tokens,
             start_by: self.start_by().min(self.end),
+            outage_by: self.outage_by(),
             tried: self.tried.clone(),
             repeat: again,
         };
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -31,8 +31,13 @@
 
 /// Longest time for a body to arrive.
 const BODY_TIME: Duration = Duration::from_secs(5);
-/// Time to come back to a gateway without a policy: about what its first feed takes.
-const RETRY_NOT_READY: Duration = Duration::from_millis(500);
+/// Longest time that a request waits for the first policy of a gateway that has just started: an
+/// election and a feed.
+const START_WAIT_MAX: Duration = Duration::from_millis(1200);
+/// The same as a part of the caller's time: one in so many.
+const START_WAIT_PART: u32 = 4;
+/// Time to come back to a gateway without a policy, once a request has waited for one in vain.
+const RETRY_NOT_READY: Duration = Duration::from_millis(1000);
 
 /// Answers whether this gateway takes callers.
 pub(crate) async fn ready(gateway: Arc<Gateway>, _: Request<Incoming>) -> Response<ResponseBody> {
@@ -81,7 +86,9 @@
     let Ok(meta) = gateway.dialect.request(&head) else {
         return Err(refuse(None, Code::BadFraming, None));
     };
-    let Some(policy) = gateway.policy() else {
+    let patience = meta.patience.unwrap_or(START_WAIT_MAX * START_WAIT_PART);
+    let start_wait = START_WAIT_MAX.min(patience / START_WAIT_PART);
+    let Some(policy) = gateway.policy_within(start_wait).await else {
         return Err(refuse(Some(&meta.id), Code::NotReady, Some(RETRY_NOT_READY)));
     };
     let admitted = authorize(&policy, &meta, head.uri.path());
@@ -99,7 +106,7 @@
         return Err(refuse(Some(&meta.id), Code::NoEndpoint, None));
     };
     let places = gateway.places(&service);
-    let patience = meta.patience.unwrap_or(route.timeout).min(route.timeout);
+    let patience = meta.patience.map_or(route.timeout, |p| p.min(route.timeout));
     let urgency = workspace.as_ref().and_then(|(_, urgency)| *urgency);
     Ok(Exchange {
         trace: Trace {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 use std::sync::PoisonError;
 use std::sync::RwLock;
 use std::time::Duration;
+use std::time::Instant;
 
 use crocustally_core::Digest;
 use crocustally_core::dispatch::LimiterSettings;
@@ -25,7 +26,9 @@
 use crocustally_net::Runtime;
 use crocustally_net::Shutdown;
 use crocustally_net::serve_http;
+use crocustally_net::timeout;
 use crocustally_wire::control_client::ControlClient;
+use event_listener::Event;
 
 use crate::GatewayDialect;
 use crate::GatewaySettings;
@@ -41,6 +44,9 @@
 /// takes two missed checks, a second apart, to send them elsewhere.
 const LINGER: Duration = Duration::from_millis(2500);
 
+/// Time after its start in which a gateway hears of all endpoints: an election, a feed and the usual
+/// time between heartbeats.
+const STARTING_TIME: Duration = Duration::from_secs(3);
 /// Pause between events that is promised where no route says one: twice the usual time of a pass.
 const GAP_UNKNOWN: Duration = Duration::from_millis(120);
 /// Skew right after a shift of popularity, before a new map is in force.
@@ -76,6 +82,9 @@
     pub(crate) shutdown: Shutdown,
     pub(crate) dialect: Arc<dyn GatewayDialect>,
     policy: RwLock<Option<Arc<TrafficPolicy>>>,
+    /// Fires when a policy comes into force.
+    adopted: Event,
+    started: Instant,
     beliefs: Mutex<Beliefs>,
     pools: RwLock<HashMap<String, Arc<Places>>>,
     clients: Mutex<HashMap<SocketAddr, Arc<HttpClient>>>,
@@ -101,13 +110,15 @@
     ) -> std::io::Result<(Arc<Self>, GatewayAddresses)> {
         let gateway = Arc::new(Self {
             rt: rt.clone(),
-            clock,
             shutdown: shutdown.clone(),
             dialect,
             policy: RwLock::new(None),
+            adopted: Event::new(),
+            started: clock.now(),
             beliefs: Mutex::new(Beliefs::default()),
             pools: RwLock::new(HashMap::new()),
             clients: Mutex::new(HashMap::new()),
+            clock,
             cfg,
         });
         feed::follow_all(&gateway, &gateway.cfg.controls.clone());
@@ -148,6 +159,21 @@
         self.policy.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// The policy in force here; waits for the first one, `limit` at most.
+    pub(crate) async fn policy_within(&self, limit: Duration) -> Option<Arc<TrafficPolicy>> {
+        let adopted = self.adopted.listen();
+        if let Some(policy) = self.policy() {
+            return Some(policy);
+        }
+        timeout(limit, adopted).await;
+        self.policy()
+    }
+
+    /// Whether it has started so lately that endpoints may not have made themselves known.
+    pub(crate) fn is_starting(&self) -> bool {
+        self.clock.now().saturating_duration_since(self.started) < STARTING_TIME
+    }
+
     /// Takes a policy into force, unless it is older than the one that is.
     pub(crate) fn adopt(&self, policy: TrafficPolicy) {
         let version = policy.version();
@@ -161,6 +187,7 @@
         log::info!(version = version, before = before; "policy in force");
         metrics::gauge!("crocustally_policy_version").set(version as f64);
         self.configure_pools();
+        self.adopted.notify(usize::MAX);
     }
 
     pub(crate) fn beliefs(&self) -> MutexGuard<'_, Beliefs> {
