--- a/crates/fleet/src/tcp_relay.rs
+++ b/crates/fleet/src/tcp_relay.rs
@@ -16,6 +16,7 @@
 use crocustally_net::sleep;
 use futures_lite::AsyncReadExt;
 use futures_lite::AsyncWriteExt;
+use rustix::net::sockopt::set_socket_linger;
 
 use crate::Plan;
 
@@ -29,6 +30,9 @@
 struct Faults {
     to_server_silent: AtomicBool,
     to_client_silent: AtomicBool,
+    reset: AtomicBool,
+    /// Both sockets, to reset them; none before the server is connected.
+    sockets: Mutex<Vec<TcpStream>>,
 }
 
 /// Forwards connections; existing ones can be made silent, without being closed, while new ones
@@ -36,6 +40,8 @@
 #[derive(Clone)]
 pub struct TcpRelay {
     address: SocketAddr,
+    /// Time by which all bytes come later, in milliseconds.
+    delay_ms: Arc<AtomicU64>,
     connections: Arc<Mutex<Vec<Arc<Faults>>>>,
 }
 
@@ -107,13 +113,15 @@
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
-        let relay = Self { address, connections: Arc::new(Mutex::new(Vec::new())) };
+        let connections = Arc::new(Mutex::new(Vec::new()));
+        let relay = Self { address, delay_ms: Arc::default(), connections };
         let (this, runtime) = (relay.clone(), rt.clone());
         rt.spawn(async move {
             while let Ok((client, from)) = listener.accept().await {
                 let faults = Arc::new(Faults::default());
                 this.lock().push(faults.clone());
-                let path = Path { faults, cut: cut_from(from), bytes: bytes.clone() };
+                let delay_ms = this.delay_ms.clone();
+                let path = Path { faults, cut: cut_from(from), bytes: bytes.clone(), delay_ms };
                 runtime.spawn(forward(runtime.clone(), client, target, path));
             }
         });
@@ -133,6 +141,24 @@
         }
     }
 
+    /// Delays all bytes, in both directions, until it is told otherwise.
+    pub fn delay(&self, time: Duration) {
+        self.delay_ms.store(time.as_millis() as u64, Ordering::Release);
+    }
+
+    /// Resets all connections that exist now.
+    pub fn reset_existing(&self) {
+        for faults in self.lock().drain(..) {
+            faults.reset.store(true, Ordering::Release);
+            let mut sockets = faults.sockets.lock().unwrap_or_else(PoisonError::into_inner);
+            for socket in sockets.drain(..) {
+                // With no time to linger, the last close resets the connection.
+                let _ = set_socket_linger(&socket, Some(Duration::ZERO));
+                let _ = socket.shutdown(std::net::Shutdown::Read);
+            }
+        }
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Arc<Faults>>> {
         self.connections.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -144,6 +170,7 @@
     faults: Arc<Faults>,
     cut: C,
     bytes: Arc<AtomicU64>,
+    delay_ms: Arc<AtomicU64>,
 }
 
 async fn forward<C: Fn() -> bool + Clone + Send + Sync + 'static>(
@@ -158,20 +185,40 @@
     let Ok(server) = TcpStream::connect(target).await else { return };
     let _ = client.set_nodelay(true);
     let _ = server.set_nodelay(true);
-    let (up, down) = (path.clone(), path);
-    let bytes = up.bytes.clone();
-    let silent = move || up.faults.to_server_silent.load(Ordering::Acquire) || (up.cut)();
-    rt.spawn(copy(client.clone(), server.clone(), silent, bytes));
-    let bytes = down.bytes.clone();
-    let silent = move || down.faults.to_client_silent.load(Ordering::Acquire) || (down.cut)();
-    copy(server, client, silent, bytes).await;
+    let sockets = vec![client.clone(), server.clone()];
+    *path.faults.sockets.lock().unwrap_or_else(PoisonError::into_inner) = sockets;
+    let up = rt.spawn_task(copy(client.clone(), server.clone(), path.clone(), Direction::ToServer));
+    copy(server, client, path.clone(), Direction::ToClient).await;
+    up.await;
+    path.faults.sockets.lock().unwrap_or_else(PoisonError::into_inner).clear();
 }
 
-async fn copy(
+/// Which way bytes go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Direction {
+    ToServer,
+    ToClient,
+}
+
+impl<C: Fn() -> bool> Path<C> {
+    fn is_silent(&self, direction: Direction) -> bool {
+        let silent = match direction {
+            Direction::ToServer => &self.faults.to_server_silent,
+            Direction::ToClient => &self.faults.to_client_silent,
+        };
+        silent.load(Ordering::Acquire) || (self.cut)()
+    }
+
+    fn is_reset(&self) -> bool {
+        self.faults.reset.load(Ordering::Acquire)
+    }
+}
+
+async fn copy<C: Fn() -> bool + Send>(
     mut from: TcpStream,
     mut to: TcpStream,
-    silent: impl Fn() -> bool + Send,
-    bytes: Arc<AtomicU64>,
+    path: Path<C>,
+    direction: Direction,
 ) {
     let mut buf = vec![0; CHUNK_BYTES];
     loop {
@@ -179,14 +226,20 @@
             Ok(n) if n > 0 => n,
             _ => break,
         };
-        while silent() {
+        while path.is_silent(direction) && !path.is_reset() {
             sleep(POLL).await;
         }
-        bytes.fetch_add(n as u64, Ordering::Relaxed);
-        if to.write_all(&buf[..n]).await.is_err() {
+        let delay = Duration::from_millis(path.delay_ms.load(Ordering::Acquire));
+        if !delay.is_zero() {
+            sleep(delay).await;
+        }
+        path.bytes.fetch_add(n as u64, Ordering::Relaxed);
+        if path.is_reset() || to.write_all(&buf[..n]).await.is_err() {
             break;
         }
     }
-    let _ = to.shutdown(std::net::Shutdown::Both);
-    let _ = from.shutdown(std::net::Shutdown::Both);
+    if !path.is_reset() {
+        let _ = to.shutdown(std::net::Shutdown::Both);
+        let _ = from.shutdown(std::net::Shutdown::Both);
+    }
 }
