--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -1,4 +1,5 @@
 //! Load patterns of one gateway's pool, without network or clock.
+#![allow(clippy::unwrap_used)]
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
--- a/crates/core/tests/handover.rs
+++ b/crates/core/tests/handover.rs
@@ -320,11 +320,11 @@
         let end = g.now + Duration::from_secs(30);
         while g.now < end {
             g.advance(MS * 10);
-            for rank in 0..RANKS {
-                if g.now < busy_until[rank] {
+            for (rank, busy) in busy_until.iter_mut().enumerate() {
+                let now = g.now;
+                if now < *busy {
                     continue;
                 }
-                let now = g.now;
                 c.report(now, g.view(rank));
                 if c.phase() == HandoverPhase::Steady && c.map_in_use(now).is_some() {
                     c.begin(now, map(RANKS));
@@ -332,7 +332,7 @@
                 for (target, order) in c.orders(now, rank) {
                     let answered = g.order(target, &order);
                     if answered == Answered::Nothing {
-                        busy_until[rank] = now + MS * 100;
+                        *busy = now + MS * 100;
                     }
                     c.answered(now, target, &order, answered);
                 }
--- a/crates/daemons/src/daemon.rs
+++ b/crates/daemons/src/daemon.rs
@@ -16,6 +16,7 @@
 use crocustally_net::Runtime;
 use crocustally_net::SettingsError;
 use crocustally_net::Shutdown;
+use crocustally_net::Signals;
 use crocustally_net::init_logs;
 use crocustally_net::load_settings;
 use crocustally_net::metrics_handle;
@@ -70,6 +71,13 @@
     T: TryFrom<R, Error = SettingsError> + Send + 'static,
     F: Future<Output = std::io::Result<()>>,
 {
+    let hangups = match Shutdown::hangups() {
+        Ok(hangups) => hangups,
+        Err(e) => {
+            eprintln!("SIGHUP cannot be taken over: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
     let settings =
         Arg::new("settings").long("settings").required(true).value_parser(value_parser!(PathBuf));
     let check = Arg::new("check").long("check").action(ArgAction::SetTrue);
@@ -91,7 +99,7 @@
     metrics_handle();
     let rt = Runtime::start(common.threads);
     let reload = move || load_settings::<R, T>(&path);
-    match async_io::block_on(run(&rt, cfg, &common, reload, start)) {
+    match async_io::block_on(run(&rt, cfg, &common, hangups, reload, start)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             log::error!(name = common.name.as_str(); "not started: {e}");
@@ -104,13 +112,14 @@
     rt: &Runtime,
     cfg: T,
     common: &Common,
+    hangups: Signals,
     reload: impl Fn() -> Result<T, SettingsError> + Send + 'static,
     start: impl FnOnce(Process<T>, T) -> F,
 ) -> std::io::Result<()> {
     let shutdown = Shutdown::default();
     shutdown.on_signals(rt);
     let state = AdminState::default();
-    let changes = watch_settings(rt, reload)?;
+    let changes = watch_settings(rt, Shutdown::reloads(rt, hangups), reload);
     let process =
         Process { rt: rt.clone(), shutdown: shutdown.clone(), state: state.clone(), changes };
     start(process, cfg).await?;
@@ -131,9 +140,9 @@
 /// Settings whenever the file is read again: at a signal, or when its text has changed.
 fn watch_settings<T: Send + 'static>(
     rt: &Runtime,
+    signals: Receiver<()>,
     reload: impl Fn() -> Result<T, SettingsError> + Send + 'static,
-) -> std::io::Result<Receiver<T>> {
-    let signals = Shutdown::reloads(rt)?;
+) -> Receiver<T> {
     let (tx, rx) = async_channel::bounded(1);
     rt.spawn(async move {
         loop {
@@ -150,5 +159,5 @@
             }
         }
     });
-    Ok(rx)
+    rx
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -29,6 +29,7 @@
 pub use admin::AdminSettings;
 pub use admin::AdminState;
 pub use admin::serve_admin;
+pub use async_signal::Signals;
 pub use channel::Channel;
 pub use channel::ChannelError;
 pub use clock::Clock;
--- a/crates/net/src/shutdown.rs
+++ b/crates/net/src/shutdown.rs
@@ -69,17 +69,23 @@
         });
     }
 
-    /// One message for each SIGHUP from now on, which therefore no longer ends the process.
-    pub fn reloads(rt: &Runtime) -> std::io::Result<Receiver<()>> {
+    /// Takes over SIGHUP, which from now on does not end the process; the first thing to do at start,
+    /// since settings may change at any moment.
+    pub fn hangups() -> std::io::Result<Signals> {
+        Signals::new([Signal::Hup])
+    }
+
+    /// One message for each SIGHUP since it was taken over.
+    pub fn reloads(rt: &Runtime, hangups: Signals) -> Receiver<()> {
         let (tx, rx) = async_channel::bounded(1);
-        let mut signals = Signals::new([Signal::Hup])?;
+        let mut signals = hangups;
         rt.spawn(async move {
             while signals.next().await.is_some() {
                 // A reload that is still waiting covers this one as well.
                 let _ = tx.try_send(());
             }
         });
-        Ok(rx)
+        rx
     }
 
     /// Asks for the stop.
