--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -12,9 +12,12 @@
 use async_channel::Receiver;
 use crocustally_core::Code;
 use crocustally_core::control::StateMachine;
+use crocustally_core::experts::Delegation;
+use crocustally_core::experts::VersionBlock;
 use crocustally_core::raft::Role;
 use crocustally_core::traffic::TrafficPolicy;
 use crocustally_log::LogHandle;
+use crocustally_log::LogView;
 use crocustally_log::PeerSettings;
 use crocustally_log::ReplicaService;
 use crocustally_net::Clock;
@@ -36,6 +39,7 @@
 use crate::ControlSettings;
 use crate::api;
 use crate::calls::ControlService;
+use crate::coordinator;
 use crate::coordinator::Coordinator;
 use crate::coordinator::PollReply;
 use crate::soft_state::SoftState;
@@ -46,6 +50,11 @@
 const FLUSH_PERIOD: Duration = Duration::from_millis(100);
 /// Updates that may be queued for one subscriber.
 const UPDATES_QUEUED_MAX: usize = 256;
+/// Time without a message of its replica after which an instance coordinates no more groups. Replicas
+/// answer the leader's heartbeats several times as often.
+const PEER_RESPONSE_TIME: Duration = Duration::from_millis(800);
+/// Code of the reply to a report on a group that another instance coordinates.
+const NO_QUORUM: u32 = Code::NoQuorum as u32;
 /// Maximum size of a policy document in bytes.
 const DOCUMENT_BYTES_MAX: usize = 4 * 1024 * 1024;
 
@@ -58,6 +67,8 @@
     state_machine: RwLock<Arc<StateMachine>>,
     soft_state: Mutex<SoftState>,
     coordinator: Mutex<Coordinator>,
+    /// Used by the leader only.
+    delegation: Mutex<Delegation>,
     /// The applied policy, decoded; `None` before the first usable one.
     policy: RwLock<Option<Arc<TrafficPolicy>>>,
 }
@@ -92,6 +103,7 @@
             state_machine: RwLock::new(Arc::new(StateMachine::default())),
             soft_state: Mutex::new(SoftState::default()),
             coordinator: Mutex::new(Coordinator::new(cfg.copy_time)),
+            delegation: Mutex::new(Delegation::default()),
             policy: RwLock::new(None),
             cfg,
         });
@@ -139,7 +151,7 @@
         let (tx, rx) = async_channel::bounded(UPDATES_QUEUED_MAX);
         let controls = self.log.addresses().iter().map(ToString::to_string).collect();
         let initial = Update { controls, ..replicated_part(&self.state_machine()) };
-        self.soft_state().subscribe(self.clock.now(), name, tx, initial);
+        self.soft_state().subscribe(self.clock.now(), &name, tx, initial);
         rx
     }
 
@@ -180,25 +192,34 @@
 
     /// Records a rank agent's report and returns orders for the agent as soon as there are any.
     ///
-    /// This is a long poll: an empty reply asks the agent to report again. An instance that does
-    /// not lead replies with [`Code::NoQuorum`] and the address of the leader, if known.
+    /// This is a long poll: an empty reply asks the agent to report again. Each group is coordinated
+    /// by the instance to which the leader has assigned it; the leader redirects agents there. All
+    /// others reply with [`Code::NoQuorum`] and the address of the leader, if known.
     pub(crate) async fn attend(&self, report: RankReport) -> RankOrders {
-        let Some(view) = self.log.view().filter(|v| v.role == Role::Leader) else {
-            let leader = self.log.leader_address().map(|a| a.to_string()).unwrap_or_default();
-            let code = u32::from(Code::NoQuorum.number());
-            return RankOrders { code, leader, orders: Vec::new() };
-        };
         let now = self.clock.now();
-        if let Some(load) = report.load.clone() {
+        let Some(view) = self.log.view().filter(|v| v.leader.is_some()) else {
+            return self.refuse_report();
+        };
+        if !self.coordinator().coordinates(now, view.term, &report) {
+            let block = match self.version_block(&view, &report) {
+                Ok(block) => block,
+                Err(reply) => return reply,
+            };
+            let policy = self.policy.read().unwrap_or_else(PoisonError::into_inner).clone();
+            self.coordinator().adopt(block, policy.as_deref(), &report);
+        }
+        if let Some(load) = &report.load {
             self.soft_state().record_rank_load(now, load);
         }
-        let policy = self.policy.read().unwrap_or_else(PoisonError::into_inner).clone();
-        self.coordinator().record_report(now, view.term, policy.as_deref(), &report);
+        self.coordinator().record_report(now, &report);
         let mut deadline = None;
         loop {
             let polled = self.coordinator().poll_orders(self.clock.now(), &report);
+            let in_term = |v: &LogView| v.term == view.term && v.leader.is_some();
             let (changed, time) = match polled {
-                PollReply::Orders(_) if !self.log.is_leader() => return RankOrders::default(),
+                PollReply::Orders(_) if !self.log.view().as_ref().is_some_and(in_term) => {
+                    return self.refuse_report();
+                }
                 PollReply::Orders(orders) => return RankOrders { orders, ..RankOrders::default() },
                 PollReply::Wait { changed, time } => (changed, time),
             };
@@ -212,6 +233,47 @@
         }
     }
 
+    /// The map versions with which this instance may start to coordinate the group of a report, or
+    /// the reply that sends the agent elsewhere.
+    fn version_block(
+        &self,
+        view: &LogView,
+        report: &RankReport,
+    ) -> Result<VersionBlock, RankOrders> {
+        if view.role != Role::Leader {
+            // The agent was redirected here by the leader of this term.
+            let assigned = report.term == view.term && report.block > 0;
+            let block = VersionBlock { term: report.term, number: report.block };
+            return if assigned { Ok(block) } else { Err(self.refuse_report()) };
+        }
+        let own = self.log.own_address();
+        let live = self.log.responding_peers(PEER_RESPONSE_TIME);
+        let (key, ranks) = (coordinator::group_key(report), report.size as usize);
+        let mut delegation = self.delegation.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some((instance, block)) = delegation.assign(view.term, &key, ranks, own, &live) else {
+            log::error!(term = view.term; "the blocks of map versions are exhausted");
+            return Err(RankOrders { code: NO_QUORUM, ..RankOrders::default() });
+        };
+        if instance == own {
+            return Ok(block);
+        }
+        Err(RankOrders {
+            code: NO_QUORUM,
+            leader: instance.to_string(),
+            term: block.term,
+            block: block.number,
+            ..RankOrders::default()
+        })
+    }
+
+    /// Reply to an agent whose group this instance does not coordinate.
+    fn refuse_report(&self) -> RankOrders {
+        let own = self.log.own_address();
+        let leader = self.log.leader_address().filter(|a| *a != own);
+        let leader = leader.map(|a| a.to_string()).unwrap_or_default();
+        RankOrders { code: NO_QUORUM, leader, ..RankOrders::default() }
+    }
+
     fn coordinator(&self) -> MutexGuard<'_, Coordinator> {
         self.coordinator.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -1,10 +1,14 @@
 //! [`Coordinator`]: plans the expert placement of rank groups and hands out the agents' orders.
+//!
+//! Every control instance has one, for the groups that the leader has assigned to it.
 
 use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
 use crocustally_core::experts::ExpertId;
+use crocustally_core::experts::GroupKey;
 use crocustally_core::experts::GroupSettings;
 use crocustally_core::experts::HandoverPhase;
 use crocustally_core::experts::LayerMap;
@@ -15,11 +19,13 @@
 use crocustally_core::experts::RankReading;
 use crocustally_core::experts::RankStatus;
 use crocustally_core::experts::SelectionCounts;
+use crocustally_core::experts::VersionBlock;
 use crocustally_core::traffic::EngineSpec;
 use crocustally_core::traffic::TrafficPolicy;
 use crocustally_wire as wire;
 use event_listener::Event;
 use event_listener::EventListener;
+use prost::Message as _;
 
 /// Minimum gain of a plan. Copying experts slows forward passes down, so small gains do not pay.
 const PLAN_GAIN_MIN: f64 = 0.08;
@@ -30,7 +36,10 @@
 
 /// One rank group and the orders for its agents.
 struct Group {
+    block: VersionBlock,
     ranks: RankGroup,
+    /// The encoded placement of a map and its version, shared by the orders to all ranks.
+    placement: Option<(u64, Bytes)>,
     /// Wakes the agents' long polls.
     changed: Event,
     /// Addresses of the engines, by rank.
@@ -43,12 +52,12 @@
     copies_due_at: Option<Instant>,
 }
 
-/// The rank groups known to the leader of one term; each new term rebuilds them from reports.
+/// The rank groups that this instance coordinates in one term; each new term rebuilds them from
+/// reports.
 pub(crate) struct Coordinator {
     /// Time that the copies of one plan may take at one rank.
     copy_time: Duration,
-    term: u64,
-    groups: HashMap<(String, String), Group>,
+    groups: HashMap<GroupKey, Group>,
 }
 
 /// The reply to an agent's long poll for orders.
@@ -66,32 +75,61 @@
 
 impl Coordinator {
     pub(crate) fn new(copy_time: Duration) -> Self {
-        Self { copy_time, term: 0, groups: HashMap::new() }
+        Self { copy_time, groups: HashMap::new() }
     }
 
-    /// Records an agent's report to the leader of `term`.
-    pub(crate) fn record_report(
+    /// Whether this instance coordinates the group of a report in `term`. Gives groups up that
+    /// belong to another term, and those that another instance may coordinate by now.
+    pub(crate) fn coordinates(
         &mut self,
         now: Instant,
         term: u64,
+        report: &wire::RankReport,
+    ) -> bool {
+        self.groups.retain(|(service, name), group| {
+            let handover = group.ranks.handover();
+            let lost = handover.has_lost_rank(now);
+            let keep = group.block.term == term && !handover.is_superseded() && !lost;
+            if !keep {
+                log::info!(
+                    service = service.as_str(), group = name.as_str(), term = group.block.term,
+                    current_term = term, rank_lost = lost;
+                    "group given up"
+                );
+            }
+            keep
+        });
+        self.groups.contains_key(&group_key(report))
+    }
+
+    /// Starts to coordinate the group of a report with the versions of `block`.
+    ///
+    /// Does nothing if the policy describes no engine with experts for the service.
+    pub(crate) fn adopt(
+        &mut self,
+        block: VersionBlock,
         policy: Option<&TrafficPolicy>,
         report: &wire::RankReport,
     ) {
-        if term != self.term {
-            self.term = term;
-            self.groups.clear();
-        }
-        let Some(load) = &report.load else { return };
         let spec = policy.and_then(|p| p.services().iter().find(|s| s.name == report.service));
         let Some(engine) = spec.and_then(|s| s.engine.as_ref()).filter(|e| e.layer_sets > 0) else {
             return;
         };
+        let key = group_key(report);
+        log::info!(
+            service = key.0.as_str(), group = key.1.as_str(), term = block.term,
+            block = block.number, ranks = report.size;
+            "group coordinated"
+        );
         let copies_max = engine.copies_within(self.copy_time);
-        let group = self
-            .groups
-            .entry(group_key(report))
-            .or_insert_with(|| Group::new(engine, term, copies_max));
-        group.record_report(now, load, report);
+        self.groups.insert(key, Group::new(engine, block, copies_max));
+    }
+
+    /// Records an agent's report on a group that this instance coordinates.
+    pub(crate) fn record_report(&mut self, now: Instant, report: &wire::RankReport) {
+        if let (Some(group), Some(load)) = (self.groups.get_mut(&group_key(report)), &report.load) {
+            group.record_report(now, load, report);
+        }
     }
 
     /// Returns the orders for the agent that sent this report, or how long to wait for some.
@@ -121,13 +159,13 @@
 /// The same per known rank, since a popularity shift makes all groups switch maps at once.
 const HOLD_POLL_WAIT_PER_RANK: Duration = Duration::from_micros(700);
 
-fn group_key(report: &wire::RankReport) -> (String, String) {
+pub(crate) fn group_key(report: &wire::RankReport) -> GroupKey {
     let group = report.load.as_ref().map(|l| l.group.clone()).unwrap_or_default();
     (report.service.clone(), group)
 }
 
 impl Group {
-    fn new(engine: &EngineSpec, term: u64, copies_max: usize) -> Self {
+    fn new(engine: &EngineSpec, block: VersionBlock, copies_max: usize) -> Self {
         let moves = MoveSettings {
             slots_per_set: engine.expert_slots_per_set,
             copies_per_set_max: engine.new_experts_per_set_max,
@@ -141,7 +179,9 @@
             plan_interval_min: PLAN_INTERVAL_MIN,
         };
         Self {
-            ranks: RankGroup::new(cfg, term),
+            block,
+            ranks: RankGroup::new(cfg, block),
+            placement: None,
             changed: Event::new(),
             engines: Vec::new(),
             next_number: 0,
@@ -230,7 +270,11 @@
             self.next_number += 1;
             let number = self.next_number;
             let address = self.engines.get(target).cloned().unwrap_or_default();
-            out.push(to_wire(number, address, epoch, &order));
+            let mut wire_order = to_wire(number, address, epoch, &order);
+            if let RankOrder::Prepare { version, sets } = &order {
+                wire_order.placement = self.encoded_placement(*version, sets);
+            }
+            out.push(wire_order);
             self.unanswered.insert(number, (target, order));
         }
         let oldest = self.next_number.saturating_sub(UNANSWERED_ORDERS_MAX as u64);
@@ -239,6 +283,19 @@
     }
 }
 
+impl Group {
+    /// The encoded placement of a map, encoded once for all ranks.
+    fn encoded_placement(&mut self, version: u64, sets: &[LayerMap]) -> Bytes {
+        if let Some((_, encoded)) = self.placement.as_ref().filter(|(v, _)| *v == version) {
+            return encoded.clone();
+        }
+        let placement = wire::Placement { sets: sets.iter().map(set_to_wire).collect() };
+        let encoded = Bytes::from(placement.encode_to_vec());
+        self.placement = Some((version, encoded.clone()));
+        encoded
+    }
+}
+
 fn log_phase_change(load: &wire::RankLoad, before: HandoverPhase, phase: HandoverPhase) {
     log::info!(
         group = load.group.as_str(), epoch = load.epoch, step = load.step, map = load.map,
@@ -274,11 +331,7 @@
 fn to_wire(number: u64, address: String, epoch: u64, order: &RankOrder) -> wire::RankOrder {
     let mut out = wire::RankOrder { number, address, epoch, ..wire::RankOrder::default() };
     match order {
-        RankOrder::Prepare { version, sets } => {
-            out.kind = 1;
-            out.version = *version;
-            out.sets = sets.iter().map(set_to_wire).collect();
-        }
+        RankOrder::Prepare { version, .. } => (out.kind, out.version) = (1, *version),
         RankOrder::Arm { version, step } => {
             (out.kind, out.version, out.step) = (2, *version, *step);
         }
@@ -288,9 +341,9 @@
     out
 }
 
-fn set_to_wire(map: &LayerMap) -> wire::SetMap {
-    let list = |experts: &smallvec::SmallVec<[ExpertId; 4]>| wire::ExpertList {
-        experts: experts.iter().map(|e| u32::from(e.0)).collect(),
-    };
-    wire::SetMap { ranks: map.ranks.iter().map(list).collect() }
+fn set_to_wire(map: &LayerMap) -> wire::SetPlacement {
+    wire::SetPlacement {
+        experts: map.ranks.iter().flatten().map(|e| u32::from(e.0)).collect(),
+        counts: map.ranks.iter().map(|experts| experts.len() as u32).collect(),
+    }
 }
--- a/crates/control/src/soft_state.rs
+++ b/crates/control/src/soft_state.rs
@@ -6,21 +6,28 @@
 use std::time::Instant;
 
 use async_channel::Sender;
+use bytes::Bytes;
+use crocustally_core::Digest;
+use crocustally_core::dispatch::address_key;
 use crocustally_core::fleet::Heartbeat;
 use crocustally_core::fleet::HeartbeatState;
 use crocustally_core::fleet::Registry;
 use crocustally_core::fleet::RegistryChange;
 use crocustally_wire::EndpointBeat;
 use crocustally_wire::Evacuations;
+use crocustally_wire::LoadBatch;
 use crocustally_wire::RankLoad;
 use crocustally_wire::SuspectNotice;
 use crocustally_wire::Update;
+use prost::Message as _;
 
 /// Time after which a gateway or the load of a rank expires. A disconnected gateway keeps sending
 /// requests, so its part of the shared budgets stays reserved until then.
 const EXPIRY_TIME: Duration = Duration::from_secs(60);
-/// Number of ranks up to which every flush includes their load; with more, only some flushes do.
-const RANKS_PER_FLUSH: usize = 36;
+/// Time after the start in which all gateways subscribe again: several of their attempts.
+const GATEWAYS_RETURN: Duration = Duration::from_secs(3);
+/// Interval between updates that list all gateways. Gateways that join are announced at once.
+const GATEWAYS_PERIOD: Duration = Duration::from_secs(60);
 /// Suspects kept for subscribers that connect later.
 const SUSPECTS_MAX: usize = 256;
 
@@ -29,14 +36,25 @@
 pub(crate) struct SoftState {
     pub(crate) registry: Registry,
     subscribers: Vec<Sender<Update>>,
-    gateways: HashMap<String, Instant>,
+    /// When each gateway was last in contact, by its identity.
+    gateways: HashMap<u64, Instant>,
+    started_at: Option<Instant>,
+    /// When subscribers were last told of all gateways; `None` until all of them should be known.
+    gateways_listed_at: Option<Instant>,
     refreshed: Vec<EndpointBeat>,
-    rank_loads: HashMap<String, (Instant, RankLoad)>,
-    rank_loads_changed: bool,
-    flushes: usize,
+    /// Newest load of each rank, by the key of its address, and whether subscribers know it.
+    rank_loads: HashMap<u64, ObservedLoad>,
     suspects: VecDeque<SuspectNotice>,
 }
 
+/// Load of a rank when its agent reported it.
+#[derive(Clone, Copy, Debug)]
+struct ObservedLoad {
+    at: Instant,
+    load: u32,
+    sent: bool,
+}
+
 impl SoftState {
     /// Records a heartbeat. A change is broadcast at once, a mere refresh with the next flush.
     pub(crate) fn record_heartbeat(&mut self, now: Instant, beat: Heartbeat) -> RegistryChange {
@@ -70,12 +88,12 @@
         known
     }
 
-    /// Records the load of a rank, reduced to the fields that gateways use.
-    pub(crate) fn record_rank_load(&mut self, now: Instant, load: RankLoad) {
-        let RankLoad { address, open, running, queued, .. } = load;
-        let load = RankLoad { address, open, running, queued, ..RankLoad::default() };
-        self.rank_loads.insert(load.address.clone(), (now, load));
-        self.rank_loads_changed = true;
+    /// Records the load of a rank.
+    pub(crate) fn record_rank_load(&mut self, now: Instant, load: &RankLoad) {
+        let Ok(address) = load.address.parse() else { return };
+        let requests = load.running + load.queued;
+        let load = ObservedLoad { at: now, load: requests * 2 + u32::from(load.open), sent: false };
+        self.rank_loads.insert(address_key(&address), load);
     }
 
     /// Stores suspects reported by a gateway and broadcasts them.
@@ -92,44 +110,68 @@
     pub(crate) fn subscribe(
         &mut self,
         now: Instant,
-        name: String,
+        name: &str,
         tx: Sender<Update>,
         mut initial: Update,
     ) {
-        self.gateways.insert(name, now);
+        let id = gateway_id(name);
+        self.gateways.insert(id, now);
         let to_wire = |k: &crocustally_core::fleet::Registration| {
             k.heartbeat.to_wire(now.saturating_duration_since(k.received_at))
         };
         initial.endpoints = self.registry.iter().map(to_wire).collect();
-        initial.ranks = self.rank_loads_at(now);
+        initial.loads = self.encode_rank_loads(now, |_| true);
         initial.suspects = self.suspects.iter().cloned().collect();
-        initial.gateways = self.gateways.len() as u32;
+        initial.gateways = self.gateways.keys().copied().collect();
+        initial.gateways_complete = self.gateways_listed_at.is_some();
         let _ = tx.try_send(initial);
+        // The new subscriber knows itself.
+        self.broadcast(Update { gateways: vec![id], ..Update::default() });
         self.subscribers.push(tx);
-        self.broadcast(Update { gateways: self.gateways.len() as u32, ..Update::default() });
     }
 
     /// Records contact with a gateway.
     pub(crate) fn record_gateway(&mut self, now: Instant, name: &str) {
-        self.gateways.insert(name.to_owned(), now);
+        self.gateways.insert(gateway_id(name), now);
     }
 
     /// Expires old entries and broadcasts refreshed endpoints and the load of ranks as one batch.
     pub(crate) fn flush(&mut self, now: Instant, policy_version: u64) {
         self.registry.expire(now);
         self.gateways.retain(|_, at| now.saturating_duration_since(*at) < EXPIRY_TIME);
-        self.flushes += 1;
-        // Keeps the bytes sent per second constant as the number of ranks grows.
-        let flushes_per_round = self.rank_loads.len().div_ceil(RANKS_PER_FLUSH).max(1);
-        let ranks_due = self.rank_loads_changed && self.flushes.is_multiple_of(flushes_per_round);
-        if self.refreshed.is_empty() && !ranks_due {
+        self.rank_loads.retain(|_, l| now.saturating_duration_since(l.at) < EXPIRY_TIME);
+        let ranks_changed = self.rank_loads.values().any(|l| !l.sent);
+        let gateways = self.gateways_due(now);
+        if self.refreshed.is_empty() && !ranks_changed && gateways.is_empty() {
             return;
         }
+        let loads = self.encode_rank_loads(now, |l| !l.sent);
+        self.rank_loads.values_mut().for_each(|l| l.sent = true);
         let endpoints = std::mem::take(&mut self.refreshed);
-        let ranks = if ranks_due { self.rank_loads_at(now) } else { Vec::new() };
-        self.rank_loads_changed &= !ranks_due;
-        let gateways = self.gateways.len() as u32;
-        self.broadcast(Update { policy_version, endpoints, ranks, gateways, ..Update::default() });
+        let gateways_complete = self.gateways_listed_at.is_some();
+        self.broadcast(Update {
+            policy_version,
+            endpoints,
+            loads,
+            gateways,
+            gateways_complete,
+            ..Update::default()
+        });
+    }
+
+    /// All gateways, once [`GATEWAYS_RETURN`] has passed since the start and then every
+    /// [`GATEWAYS_PERIOD`]; empty in between.
+    fn gateways_due(&mut self, now: Instant) -> Vec<u64> {
+        let started_at = *self.started_at.get_or_insert(now);
+        let (since, period) = match self.gateways_listed_at {
+            Some(at) => (at, GATEWAYS_PERIOD),
+            None => (started_at, GATEWAYS_RETURN),
+        };
+        if now.saturating_duration_since(since) < period {
+            return Vec::new();
+        }
+        self.gateways_listed_at = Some(now);
+        self.gateways.keys().copied().collect()
     }
 
     /// Queues an update for every subscriber. One whose queue is full is disconnected and has to
@@ -152,16 +194,23 @@
         self.subscribers.len()
     }
 
-    fn rank_loads_at(&mut self, now: Instant) -> Vec<RankLoad> {
-        self.rank_loads.retain(|_, (at, _)| now.saturating_duration_since(*at) < EXPIRY_TIME);
-        let aged = |(at, load): &(Instant, RankLoad)| {
-            let age_ms = now.saturating_duration_since(*at).as_millis() as u32;
-            RankLoad { age_ms, ..load.clone() }
-        };
-        self.rank_loads.values().map(aged).collect()
+    /// Encodes the loads that satisfy `include`, once for all subscribers.
+    fn encode_rank_loads(&self, now: Instant, include: impl Fn(&ObservedLoad) -> bool) -> Bytes {
+        let mut batch = LoadBatch::default();
+        for (key, load) in self.rank_loads.iter().filter(|(_, l)| include(l)) {
+            batch.endpoints.push(*key);
+            batch.loads.push(load.load);
+            batch.ages_ms.push(now.saturating_duration_since(load.at).as_millis() as u32);
+        }
+        Bytes::from(batch.encode_to_vec())
     }
 }
 
+/// Identity of a gateway among those that share limits.
+fn gateway_id(name: &str) -> u64 {
+    Digest::of(&[name.as_bytes()]).to_u64()
+}
+
 /// The fields of an update that come from the replicated log.
 pub(crate) fn replicated_part(machine: &crocustally_core::control::StateMachine) -> Update {
     Update {
--- a/crates/core/src/dispatch/member.rs
+++ b/crates/core/src/dispatch/member.rs
@@ -1,11 +1,13 @@
 //! [`Member`]: load, health and warm-up state of one endpoint in a gateway's pool.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
 use super::Ewma;
 use super::SlidingWindow;
+use crate::Digest;
 use crate::fleet::HeartbeatState;
 use crate::fleet::Registration;
 
@@ -37,14 +39,19 @@
 pub struct RankState {
     /// Whether the rank's group accepts requests.
     pub open: bool,
-    /// Number of running requests.
-    pub running: u32,
-    /// Number of requests queued at the rank.
-    pub queued: u32,
+    /// Number of requests at the rank, running and queued.
+    pub requests: u32,
     /// Time at which this state was observed.
     pub observed_at: Instant,
 }
 
+/// Change of an endpoint's load by a request of this gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LoadChange {
+    Sent,
+    Ended,
+}
+
 /// Window of the rate limit for cold endpoints.
 const COLD_WINDOW: Duration = Duration::from_millis(1050);
 /// Time constant of the latency and failure averages; an average without a sample within this time
@@ -79,10 +86,11 @@
     pub in_flight: u32,
     /// Prompt tokens of this gateway's requests whose response has not started.
     pub pending_prompt_tokens: u64,
-    /// Requests sent by this gateway since the last agent report.
-    pub sent_since_report: u32,
-    /// Requests of this gateway that ended since the last agent report.
-    pub ended_since_report: u32,
+    /// Requests that this gateway has sent and that have ended since the state in the last report
+    /// was observed.
+    unreported: VecDeque<(Instant, LoadChange)>,
+    /// Key by which gateways divide the endpoint's limits.
+    pub key_hash: u64,
     /// Last report of the endpoint's agent.
     pub rank_state: Option<RankState>,
     /// End of the current or last ejection.
@@ -98,13 +106,14 @@
 impl Member {
     /// Creates a member from an endpoint's first heartbeat.
     pub fn new(registration: Registration) -> Self {
+        let key_hash = Digest::of(&[registration.heartbeat.id.as_bytes()]).to_u64();
         Self {
             cold_until: cold_until(&registration),
             registration,
             in_flight: 0,
             pending_prompt_tokens: 0,
-            sent_since_report: 0,
-            ended_since_report: 0,
+            unreported: VecDeque::new(),
+            key_hash,
             rank_state: None,
             ejected_until: None,
             latency_ms: Ewma::default(),
@@ -138,21 +147,23 @@
         self.ejected_until.is_some_and(|until| now < until)
     }
 
-    /// Whether the cold rate limit of `allowance` requests per window allows one more request.
-    pub fn cold_limit_allows(&mut self, now: Instant, allowance: usize) -> bool {
-        // The window slides, so the limit applies for one window longer than the warm-up.
-        let limit_applies = self.cold_until.is_some_and(|until| now < until + COLD_WINDOW);
-        !limit_applies || self.recent_sends.count(now) < allowance
+    /// Whether the rate limit of cold endpoints applies. The window slides, so the limit applies for
+    /// one window longer than the warm-up.
+    pub fn is_rate_limited(&self, now: Instant) -> bool {
+        self.cold_until.is_some_and(|until| now < until + COLD_WINDOW)
+    }
+
+    /// Whether a rate limit of `allowance` requests per window, if it applies, allows one more.
+    pub fn cold_limit_allows(&mut self, now: Instant, allowance: u32) -> bool {
+        !self.is_rate_limited(now) || self.recent_sends.count(now) < allowance as usize
     }
 
     /// Requests at the endpoint: the reported ones plus those sent by this gateway since. Without a
     /// fresh report, the requests of this gateway alone.
     pub fn load(&self, now: Instant) -> u32 {
-        match &self.rank_state {
-            Some(r) if !self.report_is_stale(now) => {
-                (r.running + r.queued + self.sent_since_report).max(self.in_flight)
-            }
-            _ => self.in_flight,
+        match self.reported_load(now) {
+            Some(reported) => (reported + self.unreported(LoadChange::Sent)).max(self.in_flight),
+            None => self.in_flight,
         }
     }
 
@@ -160,28 +171,42 @@
     /// what this gateway has sent and completed since. Without a fresh report, each of the
     /// `gateways` gateways is assumed to have as many in flight as this one.
     pub fn estimated_load(&self, now: Instant, gateways: u32) -> f64 {
-        match &self.rank_state {
-            Some(r) if !self.report_is_stale(now) => {
-                let reported = f64::from(r.running + r.queued + self.sent_since_report);
-                (reported - f64::from(self.ended_since_report)).max(f64::from(self.in_flight))
+        match self.reported_load(now) {
+            Some(reported) => {
+                (f64::from(reported) + self.unreported_net()).max(f64::from(self.in_flight))
             }
-            _ => f64::from(gateways) * f64::from(self.in_flight),
+            None => f64::from(gateways) * f64::from(self.in_flight),
         }
     }
 
-    /// Estimated requests of all `gateways` gateways at the endpoint. Each of the others is assumed
-    /// to have sent and completed as many since the last report as this one.
-    pub fn estimated_fleet_load(&self, now: Instant, gateways: u32) -> f64 {
-        let gateways = f64::from(gateways);
-        match &self.rank_state {
-            Some(r) if !self.report_is_stale(now) => {
-                let net_sent =
-                    f64::from(self.sent_since_report) - f64::from(self.ended_since_report);
-                (f64::from(r.running + r.queued) + gateways * net_sent)
-                    .max(f64::from(self.in_flight))
-            }
-            _ => gateways * f64::from(self.in_flight),
+    /// Requests at the endpoint in its last report, if that is fresh.
+    pub fn reported_load(&self, now: Instant) -> Option<u32> {
+        let fresh = self.rank_state.as_ref().filter(|_| !self.report_is_stale(now));
+        fresh.map(|r| r.requests)
+    }
+
+    /// Time since the endpoint's load was observed, if its report is fresh.
+    pub fn report_age(&self, now: Instant) -> Option<Duration> {
+        let fresh = self.rank_state.as_ref().filter(|_| !self.report_is_stale(now));
+        fresh.map(|r| now.saturating_duration_since(r.observed_at))
+    }
+
+    /// Requests of this gateway sent less those ended since the state in the last report was
+    /// observed.
+    pub fn unreported_net(&self) -> f64 {
+        f64::from(self.unreported(LoadChange::Sent)) - f64::from(self.unreported(LoadChange::Ended))
+    }
+
+    fn unreported(&self, kind: LoadChange) -> u32 {
+        self.unreported.iter().filter(|(_, change)| *change == kind).count() as u32
+    }
+
+    fn record_load_change(&mut self, now: Instant, change: LoadChange) {
+        let expired = |at: &Instant| now.saturating_duration_since(*at) > REPORT_STALE_AFTER;
+        while self.unreported.front().is_some_and(|(at, _)| expired(at)) {
+            self.unreported.pop_front();
         }
+        self.unreported.push_back((now, change));
     }
 
     fn report_is_stale(&self, now: Instant) -> bool {
@@ -194,15 +219,14 @@
     pub fn record_rank_state(&mut self, state: RankState) {
         if self.rank_state.as_ref().is_none_or(|r| r.observed_at <= state.observed_at) {
             self.rank_state = Some(state);
-            self.sent_since_report = 0;
-            self.ended_since_report = 0;
+            self.unreported.retain(|(at, _)| *at > state.observed_at);
         }
     }
 
     /// Records a request sent to the endpoint.
     pub fn record_sent(&mut self, now: Instant, prompt_tokens: u32) {
         self.in_flight += 1;
-        self.sent_since_report += 1;
+        self.record_load_change(now, LoadChange::Sent);
         self.pending_prompt_tokens += u64::from(prompt_tokens);
         self.recent_sends.add(now);
     }
@@ -221,7 +245,7 @@
     /// Records the result of a request and ejects the endpoint if it is failing.
     pub fn record_outcome(&mut self, now: Instant, outcome: RequestOutcome) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        self.ended_since_report += 1;
+        self.record_load_change(now, LoadChange::Ended);
         match outcome {
             RequestOutcome::Unused => {}
             RequestOutcome::Whole => {
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 
 mod crash_tracker;
 mod ewma;
+mod gateway_set;
 mod limiter;
 mod member;
 mod pool;
@@ -17,6 +18,7 @@
 pub use crash_tracker::CRASHES_BEFORE_QUARANTINE;
 pub use crash_tracker::CrashTracker;
 pub use ewma::Ewma;
+pub use gateway_set::GatewaySet;
 pub use limiter::Limiter;
 pub use limiter::LimiterSettings;
 pub use member::Member;
@@ -29,6 +31,7 @@
 pub use pool::PoolSettings;
 pub use pool::QueueOutcome;
 pub use pool::Refusal;
+pub use pool::address_key;
 pub use queue::Ticket;
 pub use sliding_window::SlidingWindow;
 pub use water_filling::draw_water_filling;
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -2,14 +2,18 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
+use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use smallvec::SmallVec;
 
 use super::Ewma;
+use super::GatewaySet;
 use super::Limiter;
 use super::LimiterSettings;
 use super::Member;
@@ -22,6 +26,7 @@
 use super::queue::WaitQueue;
 use super::queue::Waiter;
 use crate::Code;
+use crate::Digest;
 use crate::fleet::HeartbeatState;
 use crate::fleet::Registration;
 
@@ -40,10 +45,8 @@
     pub retry_slack: f64,
     /// Rate limit of a cold endpoint in requests per second, summed over all gateways.
     pub cold_per_s: f64,
-    /// Upper bound on the number of gateways, by which shared budgets and limits are divided.
-    pub gateways_max: u32,
-    /// Number of gateways currently known, for load estimates.
-    pub gateways_known: u32,
+    /// The gateways among which shared budgets and limits are divided.
+    pub gateways: GatewaySet,
     /// Connections that one endpoint accepts, summed over all gateways.
     pub connections_max: u32,
     /// Seed of the random endpoint choice; must differ between gateways.
@@ -59,8 +62,7 @@
             retry_span: Duration::from_secs(10),
             retry_slack: 80.0,
             cold_per_s: 5.0,
-            gateways_max: 8,
-            gateways_known: 4,
+            gateways: GatewaySet::new(0, 1..4, true),
             connections_max: 256,
             seed: 0,
         }
@@ -119,6 +121,9 @@
 const HOLD_DEFAULT: Duration = Duration::from_millis(1500);
 /// Time constant of the mean slot hold time.
 const HOLD_TIME_CONSTANT: Duration = Duration::from_secs(5);
+/// Time for which a random rounding of this gateway's part of the free places applies: about the
+/// time between two reports.
+const ROUNDING_PERIOD: Duration = Duration::from_millis(100);
 /// Minimum Retry-After of a refusal.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(250);
 /// Maximum Retry-After of a refusal.
@@ -129,12 +134,19 @@
 /// Retry-After while no endpoint accepts work: about the time a group needs to re-form.
 const RETRY_AFTER_OUTAGE: Duration = Duration::from_millis(1200);
 
+/// A number that stands for an endpoint's address in load reports.
+pub fn address_key(address: &SocketAddr) -> u64 {
+    Digest::of(&[address.to_string().as_bytes()]).to_u64()
+}
+
 /// Endpoints of one service, with the queue of requests that wait for a slot.
 #[derive(Clone, Debug)]
 pub struct Pool {
     cfg: PoolSettings,
     members: BTreeMap<MemberKey, Member>,
     by_id: BTreeMap<String, MemberKey>,
+    /// The newest member at each address, by [`address_key`].
+    by_address: HashMap<u64, MemberKey>,
     next_key: u32,
     evacuated: BTreeSet<String>,
     limiter: Option<Limiter>,
@@ -149,6 +161,22 @@
     outage_since: Option<Instant>,
     scan_offset: u32,
     rng: ChaCha8Rng,
+    /// Random number from 0 to 1 that rounds this gateway's part of the free places, and when it was
+    /// drawn.
+    rounding: (f64, Option<Instant>),
+}
+
+/// Load of all endpoints of a pool, from their last reports.
+#[derive(Clone, Copy, Debug, Default)]
+struct FleetLoad {
+    /// Requests at the endpoints when they were observed.
+    requests: f64,
+    /// Requests that this gateway has sent less those that have ended since.
+    own_unreported: f64,
+    /// Number of endpoints.
+    endpoints: u32,
+    /// Mean age of the observations in seconds.
+    age_s: f64,
 }
 
 impl Pool {
@@ -162,6 +190,7 @@
             cfg,
             members: BTreeMap::new(),
             by_id: BTreeMap::new(),
+            by_address: HashMap::new(),
             next_key: 0,
             evacuated: BTreeSet::new(),
             in_flight: 0,
@@ -170,6 +199,7 @@
             last_retry_at: None,
             outage_since: None,
             scan_offset: 0,
+            rounding: (0.0, None),
         }
     }
 
@@ -192,12 +222,16 @@
             |m: &&mut Member| m.registration.heartbeat.born_ms == registration.heartbeat.born_ms;
         if let Some(m) = key.and_then(|k| self.members.get_mut(&k)).filter(same_incarnation) {
             m.update_registration(registration.clone());
+            if let Some(key) = key {
+                self.by_address.insert(address_key(&registration.heartbeat.address), key);
+            }
             return;
         }
         self.next_key += 1;
         let key = MemberKey(self.next_key);
         self.members.insert(key, Member::new(registration.clone()));
         self.by_id.insert(id.clone(), key);
+        self.by_address.insert(address_key(&registration.heartbeat.address), key);
         self.drop_ended_incarnations();
     }
 
@@ -206,6 +240,8 @@
         let by_id = &self.by_id;
         self.members
             .retain(|k, m| m.in_flight > 0 || by_id.get(&m.registration.heartbeat.id) == Some(k));
+        let members = &self.members;
+        self.by_address.retain(|_, key| members.contains_key(key));
     }
 
     /// Removes the members whose endpoint id does not satisfy `is_registered`.
@@ -220,8 +256,14 @@
     }
 
     /// Stores a report of the agent of the endpoint at `address`.
-    pub fn record_rank_state(&mut self, address: std::net::SocketAddr, state: RankState) {
-        if let Some(m) = self.members.values_mut().find(|m| m.address() == address) {
+    pub fn record_rank_state(&mut self, address: SocketAddr, state: RankState) {
+        self.record_rank_state_by_key(address_key(&address), state);
+    }
+
+    /// Stores a report of the agent of the endpoint whose address has this [`address_key`].
+    pub fn record_rank_state_by_key(&mut self, key: u64, state: RankState) {
+        let member = self.by_address.get(&key).and_then(|k| self.members.get_mut(k));
+        if let Some(m) = member {
             m.record_rank_state(state);
         }
     }
@@ -337,11 +379,14 @@
         self.in_flight = self.in_flight.saturating_sub(1);
         if let Some(m) = self.members.get_mut(&key) {
             m.record_outcome(now, outcome);
+            let ended = self.by_id.get(&m.registration.heartbeat.id) != Some(&key);
+            if ended {
+                self.drop_ended_incarnations();
+            }
         }
         if outcome == RequestOutcome::Whole {
             self.hold_ms.add(now, held.as_secs_f64() * 1e3, HOLD_TIME_CONSTANT);
         }
-        self.drop_ended_incarnations();
         self.tick(now)
     }
 
@@ -366,7 +411,7 @@
 
     /// Whether the retry budget allows one more retry.
     pub fn may_retry(&mut self, now: Instant) -> bool {
-        let slack = self.cfg.retry_slack / f64::from(self.cfg.gateways_max.max(1));
+        let slack = self.cfg.retry_slack / f64::from(self.cfg.gateways.upper_bound());
         let allowed = self.cfg.retry_ratio * self.first_attempts.count(now) as f64 + slack;
         ((self.retries.count(now) + 1) as f64) <= allowed
     }
@@ -407,60 +452,121 @@
         prompt_tokens: u32,
         tried: &[MemberKey],
     ) -> Option<MemberKey> {
-        if self.in_flight >= self.limit(now) || self.streams_at_limit(now) {
+        if self.in_flight >= self.limit(now) {
+            return None;
+        }
+        let fleet =
+            if self.limiter.is_some() { self.fleet_load(now) } else { FleetLoad::default() };
+        if self.streams_at_limit(now, &fleet) {
             return None;
         }
-        let gateways = f64::from(self.cfg.gateways_max.max(1));
-        let cold_allowance = (self.cfg.cold_per_s / gateways).floor().max(1.0) as usize;
-        let conns_max = (self.cfg.connections_max / self.cfg.gateways_max.max(1)).max(1);
         self.scan_offset = self.scan_offset.wrapping_add(1);
         let keys: SmallVec<[MemberKey; 32]> = self.members.keys().copied().collect();
         let start = self.scan_offset as usize;
-        let mut candidates: SmallVec<[(MemberKey, f64); 32]> = SmallVec::new();
+        let mut candidates: SmallVec<[(MemberKey, f64, f64); 32]> = SmallVec::new();
         for i in 0..keys.len() {
             // The rotating start distributes ties evenly.
             let key = keys[(start + i) % keys.len()];
             let Some(m) = self.members.get(&key) else { continue };
             let eligible = m.is_available(now) && self.in_service(m) && !tried.contains(&key);
-            let has_room =
-                m.load(now) < m.registration.heartbeat.slots.max(1) && m.in_flight < conns_max;
+            let has_room = m.load(now) < m.registration.heartbeat.slots.max(1)
+                && m.in_flight < self.connection_share(m);
             if !eligible || !has_room {
                 continue;
             }
             let score = self.score(now, m, prompt_tokens);
-            if self.members.get_mut(&key).is_some_and(|m| m.cold_limit_allows(now, cold_allowance))
-            {
-                candidates.push((key, score));
+            let age_s = m.report_age(now).map_or(fleet.age_s, |age| age.as_secs_f64());
+            let cold_share = if m.is_rate_limited(now) { self.cold_share(m) } else { u32::MAX };
+            if self.members.get_mut(&key).is_some_and(|m| m.cold_limit_allows(now, cold_share)) {
+                candidates.push((key, score, age_s));
             }
         }
         if self.limiter.is_none() {
             let cheapest = candidates.iter().min_by(|a, b| a.1.total_cmp(&b.1));
-            return cheapest.map(|(key, _)| *key);
+            return cheapest.map(|(key, ..)| *key);
         }
-        let loads: SmallVec<[f64; 32]> = candidates.iter().map(|(_, load)| *load).collect();
-        let index = draw_water_filling(&loads, self.estimated_sent_by_others(), &mut self.rng)?;
+        let loads: SmallVec<[f64; 32]> = candidates.iter().map(|(_, load, _)| *load).collect();
+        // The other gateways have filled an endpoint for as long as it was not observed.
+        let unfilled: SmallVec<[f64; 32]> =
+            candidates.iter().map(|(.., age_s)| (-age_s / fleet.age_s.max(1e-3)).exp()).collect();
+        let arrivals = self.completion_rate(&fleet) * fleet.age_s;
+        let index = draw_water_filling(&loads, &unfilled, arrivals, &mut self.rng)?;
         Some(candidates[index].0)
     }
 
-    /// Estimated requests that the other gateways have sent since the endpoints' last reports,
-    /// assuming that each has sent as many as this one.
-    fn estimated_sent_by_others(&self) -> f64 {
-        let own: u32 = self.members.values().map(|m| m.sent_since_report).sum();
-        f64::from(own) * f64::from(self.cfg.gateways_known.saturating_sub(1))
+    /// This gateway's part of the requests per second that a cold endpoint may get. A gateway that
+    /// does not know the others yet has none.
+    fn cold_share(&self, m: &Member) -> u32 {
+        let gateways = &self.cfg.gateways;
+        if !gateways.is_complete() {
+            return 0;
+        }
+        gateways.share(m.key_hash, self.cfg.cold_per_s.max(1.0) as u32)
     }
 
-    /// Whether all gateways together have reached the limit of streams in flight.
-    fn streams_at_limit(&self, now: Instant) -> bool {
-        let Some(limiter) = &self.cfg.limiter else { return false };
-        let (mut load, mut members) = (0.0, 0);
-        // Draining ranks still take part in every forward pass, so they count.
-        for m in
-            self.members.values().filter(|m| m.registration.heartbeat.state != HeartbeatState::Gone)
-        {
-            load += m.estimated_fleet_load(now, self.cfg.gateways_known);
-            members += 1;
+    /// This gateway's part of the connections that an endpoint accepts.
+    fn connection_share(&self, m: &Member) -> u32 {
+        self.cfg.gateways.share(m.key_hash, self.cfg.connections_max)
+    }
+
+    /// Sums up the load of all endpoints. Draining ranks still take part in every forward pass, so
+    /// they count. An endpoint without a fresh report counts as the mean of the others.
+    fn fleet_load(&self, now: Instant) -> FleetLoad {
+        let mut fleet = FleetLoad::default();
+        let (mut reporting, mut age_s) = (0, 0.0);
+        for m in self.members.values() {
+            if m.registration.heartbeat.state == HeartbeatState::Gone {
+                continue;
+            }
+            fleet.endpoints += 1;
+            if let (Some(load), Some(state)) = (m.reported_load(now), &m.rank_state) {
+                reporting += 1;
+                age_s += now.saturating_duration_since(state.observed_at).as_secs_f64();
+                fleet.requests += f64::from(load);
+                fleet.own_unreported += m.unreported_net();
+            }
         }
-        load >= limiter.streams_per_endpoint * f64::from(members)
+        if reporting == 0 {
+            fleet.requests = f64::from(self.in_flight) * f64::from(self.cfg.gateways.known());
+            return fleet;
+        }
+        fleet.requests *= f64::from(fleet.endpoints) / f64::from(reporting);
+        fleet.age_s = age_s / f64::from(reporting);
+        fleet
+    }
+
+    /// Requests that all endpoints complete per second, and so the rate at which all gateways
+    /// together send new ones, by Little's law.
+    fn completion_rate(&self, fleet: &FleetLoad) -> f64 {
+        fleet.requests / self.mean_hold().as_secs_f64().max(1e-3)
+    }
+
+    fn mean_hold(&self) -> Duration {
+        self.hold_ms.mean().map_or(HOLD_DEFAULT, |ms| Duration::from_secs_f64(ms / 1e3))
+    }
+
+    /// Whether this gateway has used up its part of the streams that all gateways together may have
+    /// in flight.
+    ///
+    /// A gateway may replace its own streams as they end. Of the places that were free when the
+    /// endpoints were observed it may take as large a part as it holds of the streams in flight, and
+    /// at least an even one. Parts of a place are rounded at random, so that the gateways take all
+    /// free places, and no more, in expectation.
+    fn streams_at_limit(&mut self, now: Instant, fleet: &FleetLoad) -> bool {
+        let Some(limiter) = &self.cfg.limiter else { return false };
+        let limit = limiter.streams_per_endpoint * f64::from(fleet.endpoints);
+        let gateways = f64::from(self.cfg.gateways.known());
+        let held = (f64::from(self.in_flight) + 1.0) / (fleet.requests + gateways);
+        let part = held.max(1.0 / gateways).min(1.0);
+        let (rounding, drawn_at) = self.rounding;
+        let redraw = |at: Instant| now.saturating_duration_since(at) >= ROUNDING_PERIOD;
+        let rounding = if drawn_at.is_none_or(redraw) {
+            self.rounding = (self.rng.random(), Some(now));
+            self.rounding.0
+        } else {
+            rounding
+        };
+        fleet.own_unreported + 1.0 > (limit - fleet.requests) * part + rounding
     }
 
     /// Estimated cost of one more request at a member; lower is better.
@@ -473,7 +579,7 @@
         if self.limiter.is_some() {
             let prefill = (m.pending_prompt_tokens + u64::from(prompt_tokens)) as f64
                 / PROMPT_TOKENS_PER_REQUEST;
-            return m.estimated_load(now, self.cfg.gateways_known)
+            return m.estimated_load(now, self.cfg.gateways.known())
                 + prefill
                 + (domain_factor - 1.0);
         }
@@ -491,9 +597,8 @@
 
     /// Estimated time until the `nth` slot from now becomes free.
     fn expected_wait(&self, now: Instant, nth: usize) -> Duration {
-        let hold = self.hold_ms.mean().map_or(HOLD_DEFAULT.as_secs_f64(), |ms| ms / 1e3);
         let slots = f64::from(self.limit(now).min(self.in_flight).max(1));
-        Duration::from_secs_f64(hold * nth as f64 / slots)
+        self.mean_hold().mul_f64(nth as f64 / slots)
     }
 
     /// Retry-After for a refused caller. Each caller gets a later time than the one before, up to
--- a/crates/core/src/dispatch/water_filling.rs
+++ b/crates/core/src/dispatch/water_filling.rs
@@ -10,13 +10,20 @@
 /// If all gateways together draw `arrivals` times from the same loads, the endpoints are filled
 /// evenly in expectation. Always choosing the least loaded endpoint would send the requests of all
 /// gateways to it until the next report. Returns `None` if `loads` is empty.
-pub fn draw_water_filling(loads: &[f64], arrivals: f64, rng: &mut impl Rng) -> Option<usize> {
+///
+/// `unfilled` is the part of each endpoint's headroom that should be left since its load was observed.
+pub fn draw_water_filling(
+    loads: &[f64],
+    unfilled: &[f64],
+    arrivals: f64,
+    rng: &mut impl Rng,
+) -> Option<usize> {
     let level = water_level(loads, arrivals.max(1.0))?;
-    let total: f64 = loads.iter().map(|load| (level - load).max(0.0)).sum();
+    let total: f64 = loads.iter().zip(unfilled).map(|(l, part)| (level - l).max(0.0) * part).sum();
     let mut left = rng.random::<f64>() * total;
     let mut last = None;
-    for (i, load) in loads.iter().enumerate() {
-        let room = (level - load).max(0.0);
+    for (i, (load, part)) in loads.iter().zip(unfilled).enumerate() {
+        let room = (level - load).max(0.0) * part;
         if room <= 0.0 {
             continue;
         }
--- a/crates/core/src/experts/group.rs
+++ b/crates/core/src/experts/group.rs
@@ -13,6 +13,7 @@
 use super::MoveSettings;
 use super::RankStatus;
 use super::SelectionCounts;
+use super::VersionBlock;
 
 /// Dimensions of a group and limits of its plans.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -61,11 +62,11 @@
 const REPLAN_SKEW_GROWTH: f64 = 1.4;
 
 impl RankGroup {
-    /// Creates the group for the coordinator of `term`.
-    pub fn new(cfg: GroupSettings, term: u64) -> Self {
+    /// Creates the group for the coordinator that owns `block`.
+    pub fn new(cfg: GroupSettings, block: VersionBlock) -> Self {
         Self {
             cfg,
-            handover: Handover::new(term),
+            handover: Handover::new(block),
             demand: None,
             rank_experts: Vec::new(),
             last_planned_at: None,
@@ -134,7 +135,7 @@
         }
         let plan = MovePlanner { cfg: self.cfg.moves }.plan(&current, &shares)?;
         self.planned_skew = plan.skew_before;
-        let version = self.handover.start_switch(now, plan.sets.clone());
+        let version = self.handover.start_switch(now, plan.sets.clone())?;
         Some((version, plan))
     }
 
--- a/crates/core/src/experts/handover.rs
+++ b/crates/core/src/experts/handover.rs
@@ -95,28 +95,58 @@
     },
 }
 
-/// Distance of the held pass from the last started one, in passes: 1 is the next pass, which
-/// suffices since a round of orders takes much less than one pass.
-const LEAD_PASSES: u64 = 1;
-/// The same while orders get lost, which leaves time to resend them before the pass would start.
+/// Maximum distance of the held pass from the last started one, in passes. A longer lead would only
+/// keep the old map in force for longer.
+const LEAD_PASSES_MAX: u64 = 4;
+/// Distance while orders get lost, which leaves time to resend them before the pass would start.
 const LEAD_PASSES_LOSSY: u64 = 4;
+/// Weight of the newest measurement in the means of pass time and switch time.
+const MEAN_WEIGHT: f64 = 0.4;
+/// Gaps between two reported passes beyond this are idle time or a stall, not pass time.
+const PASS_TIME_MAX: Duration = Duration::from_millis(600);
 /// How long the channel is treated as lossy after an order without an answer.
 const LOSSY_PERIOD: Duration = Duration::from_secs(6);
 /// Time before an order is resent if the reports do not show its effect.
 const RESEND_INTERVAL: Duration = Duration::from_millis(60);
-/// Time before a prepare order is resent if the engine has not started copying; capped at five
-/// times [`RESEND_INTERVAL`].
-const RESEND_INTERVAL_PREPARE: Duration = Duration::from_millis(1000);
+/// Time before a prepare order is resent if the engine has not started copying. The order is large,
+/// and an engine answers it at once.
+const RESEND_INTERVAL_PREPARE: Duration = Duration::from_millis(300);
 /// Maximum age of the reports that a plan may be based on.
 const REPORT_AGE_MAX: Duration = Duration::from_millis(1000);
 /// Report age after which the orders of a rank are relayed by another agent.
 const RELAY_AFTER: Duration = Duration::from_millis(500);
 /// The same while a pass may be held.
 const RELAY_AFTER_HELD: Duration = Duration::from_millis(150);
+/// Report age after which the agent of a rank may be reporting elsewhere.
+const LOST_AFTER: Duration = Duration::from_secs(3);
 /// Maximum time to prepare a map before the switch is abandoned.
 const PREPARE_TIMEOUT: Duration = Duration::from_secs(12);
-/// Number of map versions reserved for each term.
-const VERSIONS_PER_TERM: u64 = 1 << 20;
+/// Number of map versions in a block.
+const VERSIONS_PER_BLOCK: u64 = 1 << 16;
+/// Number of blocks in a term. Versions stay below 2^53, so that JSON numbers hold them exactly.
+pub const BLOCKS_PER_TERM: u64 = 1 << 20;
+
+/// A block of map versions, which belongs to one coordinator of one group.
+///
+/// Versions order by term, then by block. No two coordinators get the same block, so they never
+/// assign the same version to different maps.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct VersionBlock {
+    /// Term of the leader that assigned the block.
+    pub term: u64,
+    /// Number of the block in its term, below [`BLOCKS_PER_TERM`].
+    pub number: u64,
+}
+
+impl VersionBlock {
+    fn first(self) -> u64 {
+        (self.term * BLOCKS_PER_TERM + self.number) * VERSIONS_PER_BLOCK
+    }
+
+    fn end(self) -> u64 {
+        self.first() + VERSIONS_PER_BLOCK
+    }
+}
 
 #[derive(Clone, Debug)]
 struct TrackedRank {
@@ -133,11 +163,13 @@
 /// all ranks start the pass with the same map even if orders are lost or late: engines refuse an
 /// order for a pass that has started, and a late hold is released once a report shows it. As soon as
 /// any rank may be armed, the switch must be completed; a successor does this from the held pass in
-/// the ranks' reports. Versions include the coordinator's term, so two coordinators never assign the
-/// same version to different maps.
+/// the ranks' reports.
+///
+/// The pass is held as many passes ahead as a round of orders has lately taken, so that the group
+/// seldom has to wait for it.
 #[derive(Clone, Debug)]
 pub struct Handover {
-    term: u64,
+    block: VersionBlock,
     versions_assigned: u64,
     epoch: u64,
     phase: HandoverPhase,
@@ -147,13 +179,20 @@
     current: Option<(u64, Arc<Vec<LayerMap>>)>,
     holder: usize,
     last_loss_at: Option<Instant>,
+    /// Newest pass that any rank has started, and when that was first reported.
+    last_pass: Option<(u64, Instant)>,
+    /// Mean time of a pass.
+    pass_time: Option<Duration>,
+    /// Mean time from the choice of the held pass until all ranks are armed.
+    switch_time: Option<Duration>,
+    switch_since: Option<Instant>,
 }
 
 impl Handover {
-    /// Creates the handover of the coordinator of `term`, which must be unique to that coordinator.
-    pub fn new(term: u64) -> Self {
+    /// Creates the handover of the coordinator that owns `block`.
+    pub fn new(block: VersionBlock) -> Self {
         Self {
-            term,
+            block,
             versions_assigned: 0,
             epoch: 0,
             phase: HandoverPhase::Gathering,
@@ -163,6 +202,10 @@
             current: None,
             holder: 0,
             last_loss_at: None,
+            last_pass: None,
+            pass_time: None,
+            switch_time: None,
+            switch_since: None,
         }
     }
 
@@ -200,19 +243,25 @@
         self.current.as_ref().filter(|(v, _)| *v == version).map(|(_, sets)| sets.clone())
     }
 
-    /// Starts a switch to a placement and returns the version of the new map.
-    ///
-    /// Panics when the versions of the term are used up.
-    pub fn start_switch(&mut self, now: Instant, sets: Vec<LayerMap>) -> u64 {
+    /// Whether this coordinator should give the group up: its versions are exhausted, or a rank has
+    /// seen a version of a later block, next to which it would refuse those of this one.
+    pub fn is_superseded(&self) -> bool {
+        let end = self.block.end();
+        self.versions_assigned + 1 >= VERSIONS_PER_BLOCK
+            || self.statuses().any(|s| s.map >= end || s.prepared.is_some_and(|v| v >= end))
+    }
+
+    /// Starts a switch to a placement and returns the version of the new map; `None` if the versions
+    /// of the block are exhausted.
+    pub fn start_switch(&mut self, now: Instant, sets: Vec<LayerMap>) -> Option<u64> {
+        if self.versions_assigned + 1 >= VERSIONS_PER_BLOCK {
+            return None;
+        }
         self.versions_assigned += 1;
-        assert!(
-            self.versions_assigned < VERSIONS_PER_TERM,
-            "the map versions of the term are exhausted"
-        );
-        let version = self.term * VERSIONS_PER_TERM + self.versions_assigned;
+        let version = self.block.first() + self.versions_assigned;
         self.next = Some((version, Arc::new(sets)));
         self.enter_phase(now, HandoverPhase::Preparing { version });
-        version
+        Some(version)
     }
 
     /// Processes the reported status of a rank.
@@ -225,8 +274,10 @@
             self.ranks = vec![None; status.size];
             self.next = None;
             self.current = None;
+            self.last_pass = None;
             self.enter_phase(now, HandoverPhase::Gathering);
         }
+        self.record_pass(now, status.step);
         let rank = status.rank;
         match &mut self.ranks[rank] {
             Some(tracked) => {
@@ -240,6 +291,33 @@
         self.advance(now);
     }
 
+    /// Updates the mean pass time from the newest pass that a rank has started.
+    fn record_pass(&mut self, now: Instant, step: u64) {
+        if let Some((last, at)) = self.last_pass {
+            if step <= last {
+                return;
+            }
+            let per_pass = now.saturating_duration_since(at) / (step - last) as u32;
+            // A pass that was held for a switch took longer than usual.
+            if per_pass < PASS_TIME_MAX && !self.may_hold_pass() {
+                self.pass_time = Some(mean(self.pass_time, per_pass));
+            }
+        }
+        self.last_pass = Some((step, now));
+    }
+
+    /// Passes between the last started one and the one to hold.
+    fn lead_passes(&self, now: Instant) -> u64 {
+        let lossy =
+            self.last_loss_at.is_some_and(|at| now.saturating_duration_since(at) < LOSSY_PERIOD);
+        if lossy {
+            return LEAD_PASSES_LOSSY;
+        }
+        let (Some(pass), Some(switch)) = (self.pass_time, self.switch_time) else { return 1 };
+        let passes = switch.as_secs_f64() / pass.as_secs_f64().max(1e-3);
+        (passes.ceil() as u64).clamp(1, LEAD_PASSES_MAX)
+    }
+
     /// Processes the outcome of an order that was sent to `rank`.
     pub fn record_outcome(
         &mut self,
@@ -282,6 +360,16 @@
         )
     }
 
+    /// Whether a rank has not been heard of for [`LOST_AFTER`]. Its agent may report to another
+    /// coordinator, so this one should give the group up, unless it has to complete a switch.
+    pub fn has_lost_rank(&self, now: Instant) -> bool {
+        let lost = |at: Instant| now.saturating_duration_since(at) > LOST_AFTER;
+        let gathering = self.phase == HandoverPhase::Gathering;
+        !self.may_hold_pass()
+            && (self.ranks.iter().flatten().any(|r| lost(r.reported_at))
+                || (gathering && self.phase_since.is_some_and(lost)))
+    }
+
     /// The orders that the agent of `rank` should deliver now, each with its target: the agent's own
     /// rank, or a rank whose agent has stopped reporting.
     pub fn orders(&mut self, now: Instant, rank: usize) -> Vec<(usize, RankOrder)> {
@@ -317,7 +405,7 @@
             RankOrder::Prepare { version, .. } if tracked.preparing == Some(*version) => {
                 PREPARE_TIMEOUT
             }
-            RankOrder::Prepare { .. } => RESEND_INTERVAL_PREPARE.min(RESEND_INTERVAL * 5),
+            RankOrder::Prepare { .. } => RESEND_INTERVAL_PREPARE,
             _ => RESEND_INTERVAL,
         };
         !tracked.sent.as_ref().is_some_and(|(at, sent)| {
@@ -390,6 +478,10 @@
             }
             HandoverPhase::Arming { version, step } => {
                 if self.statuses().all(|v| v.armed == Some((version, step)) || v.map == version) {
+                    if let Some(since) = self.switch_since.take() {
+                        let took = now.saturating_duration_since(since);
+                        self.switch_time = Some(mean(self.switch_time, took));
+                    }
                     self.enter_phase(now, HandoverPhase::Going { version, step });
                 }
             }
@@ -404,9 +496,8 @@
 
     /// Enters the holding phase for a pass that has not started.
     fn hold_next_pass(&mut self, now: Instant, version: u64) {
-        let lossy =
-            self.last_loss_at.is_some_and(|at| now.saturating_duration_since(at) < LOSSY_PERIOD);
-        let lead = if lossy { LEAD_PASSES_LOSSY } else { LEAD_PASSES };
+        let lead = self.lead_passes(now);
+        self.switch_since = Some(now);
         // Any rank can hold the pass; prefer the one with the newest report, as its agent responds.
         let last_report = |r: usize| self.ranks[r].as_ref().map(|s| s.reported_at);
         self.holder = (0..self.ranks.len()).max_by_key(|r| last_report(*r)).unwrap_or(0);
@@ -447,6 +538,11 @@
     }
 }
 
+/// The mean of durations after one more measurement.
+fn mean(before: Option<Duration>, newest: Duration) -> Duration {
+    before.map_or(newest, |b| b.mul_f64(1.0 - MEAN_WEIGHT) + newest.mul_f64(MEAN_WEIGHT))
+}
+
 /// Outcome of an order at an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OrderOutcome {
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -11,12 +11,14 @@
 use crocustally_core::dispatch::CrashTracker;
 use crocustally_core::dispatch::DispatchDecision;
 use crocustally_core::dispatch::DispatchRequest;
+use crocustally_core::dispatch::GatewaySet;
 use crocustally_core::dispatch::LimiterSettings;
 use crocustally_core::dispatch::MemberKey;
 use crocustally_core::dispatch::Pool;
 use crocustally_core::dispatch::PoolSettings;
 use crocustally_core::dispatch::RankState;
 use crocustally_core::dispatch::RequestOutcome;
+use crocustally_core::dispatch::address_key;
 use crocustally_core::fleet::Heartbeat;
 use crocustally_core::fleet::HeartbeatState;
 use crocustally_core::fleet::Registration;
@@ -51,6 +53,11 @@
     pool
 }
 
+/// The view of gateway `own` of `count` gateways, all of which it knows.
+fn gateways(own: u64, count: u64) -> GatewaySet {
+    GatewaySet::new(own, 0..count, true)
+}
+
 fn request(now: Instant) -> DispatchRequest {
     DispatchRequest {
         priority: 0,
@@ -70,7 +77,7 @@
 }
 
 fn rank_state(observed_at: Instant, running: u32, open: bool) -> RankState {
-    RankState { open, running, queued: 0, observed_at }
+    RankState { open, requests: running, observed_at }
 }
 
 #[test]
@@ -88,7 +95,8 @@
 #[test]
 fn cold_endpoint_receives_at_most_the_gateways_share_of_its_rate_limit() {
     let start = Instant::now();
-    let cfg = PoolSettings { cold_per_s: 44.0, gateways_max: 8, ..PoolSettings::default() };
+    let cfg =
+        PoolSettings { cold_per_s: 44.0, gateways: gateways(0, 4), ..PoolSettings::default() };
     let mut pool = pool(start, cfg, 0);
     let mut cold = registration(start, 0);
     cold.heartbeat.cold_remaining = 3000 * MS;
@@ -121,7 +129,7 @@
     let cfg = PoolSettings {
         retry_ratio: 0.2,
         retry_slack: 80.0,
-        gateways_max: 8,
+        gateways: gateways(0, 4),
         ..PoolSettings::default()
     };
     let mut pool = pool(start, cfg, 3);
@@ -298,8 +306,8 @@
         floor: 100.0,
         ..LimiterSettings::default()
     });
-    let cfg = PoolSettings { limiter, gateways_known: 4, ..PoolSettings::default() };
-    let mut pools: Vec<Pool> = (0..4).map(|_| pool(now, cfg.clone(), 12)).collect();
+    let cfg = |own| PoolSettings { limiter, gateways: gateways(own, 4), ..PoolSettings::default() };
+    let mut pools: Vec<Pool> = (0..4).map(|own| pool(now, cfg(own), 12)).collect();
     let mut total = 0;
     for p in &mut pools {
         for n in 0..12 {
@@ -390,8 +398,7 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let cfg = |gateway: usize| PoolSettings {
         limiter: Some(LimiterSettings::default()),
-        gateways_max: GATEWAYS as u32 + 4,
-        gateways_known: GATEWAYS as u32,
+        gateways: gateways(gateway as u64, GATEWAYS as u64),
         seed: seed * 100 + gateway as u64,
         ..PoolSettings::default()
     };
@@ -443,6 +450,118 @@
     f64::from(full) / f64::from(sent_total)
 }
 
+/// A deployment in which many gateways share the engines, whose loads they learn late: at any moment
+/// the same few engines look least loaded to all gateways, and none of them sees more than a few of
+/// the requests.
+#[derive(Clone, Copy)]
+struct Herd {
+    gateways: usize,
+    engines: usize,
+    slots: u32,
+    /// Share of all slots that the streams take in the mean.
+    utilization: f64,
+    /// Interval between two reports of an engine.
+    report_interval_ms: u32,
+    /// Time from an observation to its arrival at the gateways.
+    report_delay_ms: u32,
+}
+
+#[derive(Debug)]
+struct HerdResult {
+    /// Share of the streams that arrived at a full engine while another one had a free slot.
+    full: f64,
+    /// Share of the streams that were refused or had to wait.
+    not_sent: f64,
+    /// Mean over time of the load of the busiest engine, divided by the mean load.
+    busiest: f64,
+}
+
+impl Herd {
+    fn play(self, seed: u64) -> HerdResult {
+        let Self { gateways: n, engines, slots, .. } = self;
+        let start = Instant::now();
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let cfg = |gateway: usize| PoolSettings {
+            limiter: Some(LimiterSettings {
+                streams_per_endpoint: f64::from(slots),
+                // No event gaps are recorded, so the limit of a gateway stays at its start.
+                floor: 100.0,
+                ..LimiterSettings::default()
+            }),
+            gateways: gateways(gateway as u64, n as u64),
+            seed: seed * 1000 + gateway as u64,
+            connections_max: 100_000,
+            ..PoolSettings::default()
+        };
+        let address = |e: usize| SocketAddr::from(([10, 0, (e / 250) as u8, (e % 250) as u8], 80));
+        let keys: Vec<u64> = (0..engines).map(|e| address_key(&address(e))).collect();
+        let mut pools: Vec<Pool> = (0..n).map(|g| Pool::new(cfg(g))).collect();
+        for e in 0..engines {
+            let mut reg = registration(start, 0);
+            reg.heartbeat.id = format!("e{e}");
+            reg.heartbeat.address = address(e);
+            reg.heartbeat.slots = slots;
+            pools.iter_mut().for_each(|p| p.update_registration(&reg));
+        }
+        // Streams take 0.2 to 3 s, so the mean number of them is 1.6 times the rate.
+        let per_ms = self.utilization * f64::from(slots) * engines as f64 / 1600.0;
+        let mut running: Vec<RunningStream> = Vec::new();
+        let mut loads = vec![0_u32; engines];
+        let mut delayed: std::collections::VecDeque<(Instant, usize, RankState)> =
+            Default::default();
+        let (mut asked, mut sent, mut full, mut busiest, mut samples) = (0, 0, 0, 0.0, 0);
+        for ms in 0..MEASURED_UNTIL_MS {
+            let now = start + ms * MS;
+            let ended: Vec<RunningStream> = running.extract_if(.., |r| r.ends_at <= now).collect();
+            for r in ended {
+                loads[r.endpoint] -= 1;
+                let _ = pools[r.gateway].complete(now, r.key, RequestOutcome::Whole, 1600 * MS);
+            }
+            let interval = self.report_interval_ms as usize;
+            for e in (0..engines).filter(|e| (ms as usize + e * 37).is_multiple_of(interval)) {
+                let state = rank_state(now, loads[e], true);
+                delayed.push_back((now + self.report_delay_ms * MS, e, state));
+            }
+            while delayed.front().is_some_and(|(at, ..)| *at <= now) {
+                let (_, e, state) = delayed.pop_front().unwrap();
+                pools.iter_mut().for_each(|p| p.record_rank_state_by_key(keys[e], state));
+            }
+            if ms > MEASURED_FROM_MS && ms.is_multiple_of(50) {
+                let mean = f64::from(loads.iter().sum::<u32>()) / engines as f64;
+                busiest += f64::from(*loads.iter().max().unwrap()) / mean;
+                samples += 1;
+            }
+            let arrivals = per_ms as u32 + u32::from(rng.random_bool(per_ms.fract()));
+            for _ in 0..arrivals {
+                // A tenth of the gateways gets a third of the callers.
+                let among = if rng.random_bool(0.3) { n.div_ceil(10) } else { n };
+                let gateway = rng.random_range(0..among);
+                let req =
+                    DispatchRequest { prompt_tokens: 800, queue_deadline: now, ..request(now) };
+                let measured = ms > MEASURED_FROM_MS;
+                asked += u32::from(measured);
+                let DispatchDecision::Send(key) = pools[gateway].dispatch(now, &req) else {
+                    continue;
+                };
+                let at = pools[gateway].member(key).unwrap().address();
+                let endpoint = (0..engines).find(|e| address(*e) == at).unwrap();
+                pools[gateway].response_started(now, key, 800, 100 * MS);
+                sent += u32::from(measured);
+                let elsewhere = loads.iter().any(|l| *l < slots);
+                full += u32::from(measured && loads[endpoint] >= slots && elsewhere);
+                loads[endpoint] += 1;
+                let ends_at = now + MS * rng.random_range(200..3000);
+                running.push(RunningStream { ends_at, gateway, key, endpoint });
+            }
+        }
+        HerdResult {
+            full: f64::from(full) / f64::from(sent),
+            not_sent: 1.0 - f64::from(sent) / f64::from(asked),
+            busiest: busiest / f64::from(samples),
+        }
+    }
+}
+
 #[test]
 fn gateways_with_delayed_load_reports_do_not_herd_on_one_engine() {
     for seed in 0..4 {
@@ -450,3 +569,32 @@
         assert!(share < 0.01, "seed {seed}: share {share:.3} of streams arrived at a full engine");
     }
 }
+
+/// Part of the simulation that is measured: from when the first streams have ended.
+const MEASURED_FROM_MS: u32 = 2000;
+const MEASURED_UNTIL_MS: u32 = 3000;
+/// Share of the streams that may wait for a place, since 95 in 100 callers shall get their first token
+/// in time.
+const WAITING_MAX: f64 = 0.05;
+
+/// From 4 gateways over 12 engines to 400 over 600, at the utilization of a quiet day.
+#[test]
+fn streams_find_free_engines_at_any_number_of_gateways() {
+    for (gateways, engines, slots) in [(4, 12, 12), (16, 72, 10), (58, 192, 6), (400, 600, 8)] {
+        let herd = Herd {
+            gateways,
+            engines,
+            slots,
+            utilization: 0.6,
+            // Loads are known within 150 ms.
+            report_interval_ms: 100,
+            report_delay_ms: 50,
+        };
+        let HerdResult { full, not_sent, busiest } = herd.play(3);
+        println!(
+            "{gateways} gateways: full {full:.4}, not sent {not_sent:.4}, busiest {busiest:.2}"
+        );
+        assert!(full < WAITING_MAX, "{gateways} gateways: {full:.4} arrived at a full engine");
+        assert!(not_sent < WAITING_MAX, "{gateways} gateways: {not_sent:.4} had to wait");
+    }
+}
--- a/crates/core/tests/handover.rs
+++ b/crates/core/tests/handover.rs
@@ -10,6 +10,7 @@
 use crocustally_core::experts::OrderOutcome;
 use crocustally_core::experts::RankOrder;
 use crocustally_core::experts::RankStatus;
+use crocustally_core::experts::VersionBlock;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -19,6 +20,10 @@
 const COPY_TIME: Duration = Duration::from_millis(400);
 const PASS_TIME: Duration = Duration::from_millis(70);
 
+fn block(term: u64) -> VersionBlock {
+    VersionBlock { term, number: 0 }
+}
+
 /// The engine of one rank.
 #[derive(Clone, Debug, Default)]
 struct Engine {
@@ -46,11 +51,15 @@
 
 impl Group {
     fn new(seed: u64, loss_rate: f64) -> Self {
+        Self::of_ranks(RANKS, seed, loss_rate)
+    }
+
+    fn of_ranks(ranks: usize, seed: u64, loss_rate: f64) -> Self {
         let now = Instant::now();
         Self {
             now,
             rng: ChaCha8Rng::seed_from_u64(seed),
-            engines: vec![Engine::default(); RANKS],
+            engines: vec![Engine::default(); ranks],
             step: 10,
             next_pass: now + PASS_TIME,
             epoch: 1,
@@ -65,7 +74,7 @@
         let e = &self.engines[rank];
         RankStatus {
             rank,
-            size: RANKS,
+            size: self.engines.len(),
             epoch: self.epoch,
             open: true,
             step: self.step,
@@ -176,7 +185,7 @@
     /// Simulates the loss and restart of a rank, which starts a new epoch with map 0.
     fn restart_with_new_epoch(&mut self) {
         self.epoch += 1;
-        self.engines = vec![Engine::default(); RANKS];
+        self.engines = vec![Engine::default(); self.engines.len()];
     }
 }
 
@@ -186,13 +195,17 @@
 
 /// Simulates a group for `seconds` with coordinator failovers and agents that stop reporting.
 fn simulate(seed: u64, loss_rate: f64, seconds: u64) -> Group {
-    let mut g = Group::new(seed, loss_rate);
+    simulate_ranks(RANKS, seed, loss_rate, seconds)
+}
+
+fn simulate_ranks(ranks: usize, seed: u64, loss_rate: f64, seconds: u64) -> Group {
+    let mut g = Group::of_ranks(ranks, seed, loss_rate);
     let mut fault_rng = ChaCha8Rng::seed_from_u64(seed ^ 0xc4a0);
-    let mut coordinators = vec![Handover::new(1)];
-    let mut term = 1;
-    let mut unresponsive_until = [g.now; RANKS];
+    let mut newest = block(1);
+    let mut coordinators = vec![Handover::new(newest)];
+    let mut unresponsive_until = vec![g.now; ranks];
     // Index of the coordinator that each agent reports to.
-    let mut coordinator_of_agent = [0_usize; RANKS];
+    let mut coordinator_of_agent = vec![0_usize; ranks];
     let end = g.now + Duration::from_secs(seconds);
     while g.now < end {
         g.advance(MS * 10);
@@ -200,16 +213,20 @@
             g.restart_with_new_epoch();
         }
         if fault_rng.random_bool(0.002) {
-            // A successor takes over; the old one stays active until its agents have switched to the
-            // new one.
-            term += 1;
-            coordinators.push(Handover::new(term));
+            // A successor takes over, in a new term or with a new block of the same one; the old one
+            // stays active until its agents have switched to the new one.
+            newest = if coordinators.len().is_multiple_of(2) {
+                VersionBlock { number: newest.number + 1, ..newest }
+            } else {
+                block(newest.term + 1)
+            };
+            coordinators.push(Handover::new(newest));
         }
         if fault_rng.random_bool(0.004) {
-            let rank = fault_rng.random_range(0..RANKS);
+            let rank = fault_rng.random_range(0..ranks);
             unresponsive_until[rank] = g.now + MS * fault_rng.random_range(200..3000);
         }
-        for rank in 0..RANKS {
+        for rank in 0..ranks {
             if g.now < unresponsive_until[rank] {
                 continue;
             }
@@ -220,7 +237,7 @@
             let c = &mut coordinators[coordinator_of_agent[rank]];
             c.report(now, g.status(rank));
             if c.phase() == HandoverPhase::Steady && c.map_in_use(now).is_some() {
-                c.start_switch(now, placement(RANKS));
+                c.start_switch(now, placement(ranks));
             }
             for (target, order) in c.orders(now, rank) {
                 let outcome = g.order(target, &order);
@@ -255,9 +272,9 @@
 #[test]
 fn successor_completes_a_partly_armed_switch() {
     let mut g = Group::new(3, 0.0);
-    let mut first = Handover::new(1);
+    let mut first = Handover::new(block(1));
     (0..RANKS).for_each(|r| first.report(g.now, g.status(r)));
-    let version = first.start_switch(g.now, placement(RANKS));
+    let version = first.start_switch(g.now, placement(RANKS)).unwrap();
     // The first coordinator fails after it has armed half of the ranks.
     while !matches!(first.phase(), HandoverPhase::Arming { .. }) {
         g.advance(MS * 10);
@@ -277,7 +294,7 @@
             g.order(target, &order);
         }
     }
-    let mut second = Handover::new(2);
+    let mut second = Handover::new(block(2));
     for _ in 0..200 {
         g.advance(MS * 10);
         for rank in 0..RANKS {
@@ -295,7 +312,7 @@
 #[test]
 fn held_pass_is_released_when_the_holders_agent_fails() {
     let mut g = Group::new(5, 0.0);
-    let mut c = Handover::new(1);
+    let mut c = Handover::new(block(1));
     (0..RANKS).for_each(|r| c.report(g.now, g.status(r)));
     c.start_switch(g.now, placement(RANKS));
     let mut held = None;
@@ -320,7 +337,7 @@
     let mut total = 0;
     for seed in 0..10 {
         let mut g = Group::new(seed, 0.5);
-        let mut c = Handover::new(1);
+        let mut c = Handover::new(block(1));
         let mut busy_until = [g.now; RANKS];
         let end = g.now + Duration::from_secs(30);
         while g.now < end {
@@ -348,3 +365,52 @@
     // A switch takes at most 1.5 s on average, including 0.4 s for its copies.
     assert!(total >= 200, "{total} switches in 300 s");
 }
+
+/// A group of the target size, with orders that are lost, late and repeated.
+#[test]
+fn maps_never_mix_in_a_group_of_256_ranks() {
+    for seed in 0..3 {
+        let g = simulate_ranks(256, seed, 0.05, 20);
+        assert!(g.switches > 0, "seed {seed}: no switch in 20 s");
+    }
+}
+
+/// The agents of a large group report less often than once per pass, since the coordinator's
+/// processor time is limited. The group must not wait for a round of their reports at each switch.
+#[test]
+fn slow_rounds_of_orders_do_not_stall_the_group() {
+    const REPORT_INTERVAL: u32 = 12;
+    let mut g = Group::of_ranks(64, 11, 0.0);
+    let mut c = Handover::new(block(1));
+    for tick in 0..6000_u32 {
+        g.advance(MS * 10);
+        for rank in (0..64).filter(|r| (*r as u32 + tick).is_multiple_of(REPORT_INTERVAL)) {
+            let now = g.now;
+            c.report(now, g.status(rank));
+            if c.phase() == HandoverPhase::Steady && c.map_in_use(now).is_some() {
+                c.start_switch(now, placement(64));
+            }
+            for (target, order) in c.orders(now, rank) {
+                let outcome = g.order(target, &order);
+                c.record_outcome(now, target, &order, outcome);
+            }
+        }
+    }
+    let switches = g.switches / 64;
+    let per_switch = g.stalled_for / switches as u32;
+    assert!(switches >= 50, "{switches} switches in 60 s");
+    assert!(per_switch < PASS_TIME / 2, "{per_switch:?} stalled per switch");
+}
+
+#[test]
+fn coordinator_gives_up_next_to_versions_of_a_later_block() {
+    let mut g = Group::new(1, 0.0);
+    let mut c = Handover::new(VersionBlock { term: 2, number: 4 });
+    (0..RANKS).for_each(|r| c.report(g.now, g.status(r)));
+    assert!(!c.is_superseded());
+    let mut later = Handover::new(VersionBlock { term: 2, number: 5 });
+    (0..RANKS).for_each(|r| later.report(g.now, g.status(r)));
+    g.engines[3].prepared = later.start_switch(g.now, placement(RANKS));
+    c.report(g.now, g.status(3));
+    assert!(c.is_superseded());
+}
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -15,9 +15,10 @@
 use crocustally_wire::EndpointBeat;
 use crocustally_wire::FetchPolicyRequest;
 use crocustally_wire::FollowRequest;
-use crocustally_wire::RankLoad;
+use crocustally_wire::LoadBatch;
 use crocustally_wire::Update;
 use crocustally_wire::control_client::ControlClient;
+use prost::Message as _;
 
 use crate::Gateway;
 use crate::suspects;
@@ -60,12 +61,13 @@
 }
 
 fn apply_update(gateway: &Arc<Gateway>, client: &ControlClient<Channel>, update: Update) {
-    let mut pools_changed = !update.endpoints.is_empty() || !update.ranks.is_empty();
+    let mut pools_changed = !update.endpoints.is_empty() || !update.loads.is_empty();
     for heartbeat in update.endpoints {
         apply_heartbeat(gateway, heartbeat);
     }
-    for load in update.ranks {
-        apply_rank_load(gateway, &load);
+    match LoadBatch::decode(update.loads) {
+        Ok(batch) => apply_rank_loads(gateway, &batch),
+        Err(e) => log::error!("malformed loads in an update: {e}"),
     }
     if let Some(evacuations) = update.evacuations {
         let mut fleet = gateway.fleet();
@@ -87,13 +89,10 @@
         }
         pools_changed = true;
     }
-    if update.gateways > 0 {
-        let mut fleet = gateway.fleet();
-        let changed = fleet.gateway_count != update.gateways;
-        // Control instances discover gateways at different times; the highest count is the safe
-        // one, since budgets are divided by it.
-        fleet.gateway_count = fleet.gateway_count.max(update.gateways);
-        drop(fleet);
+    if !update.gateways.is_empty() || update.gateways_complete {
+        let now = gateway.clock.now();
+        let changed =
+            gateway.fleet().record_gateways(now, &update.gateways, update.gateways_complete);
         if changed {
             gateway.configure_pools();
         }
@@ -154,18 +153,21 @@
     });
 }
 
-fn apply_rank_load(gateway: &Arc<Gateway>, load: &RankLoad) {
-    let Ok(address) = load.address.parse() else { return };
+fn apply_rank_loads(gateway: &Arc<Gateway>, batch: &LoadBatch) {
     let now = gateway.clock.now();
-    let age = Duration::from_millis(u64::from(load.age_ms));
-    let state = RankState {
-        open: load.open,
-        running: load.running,
-        queued: load.queued,
-        observed_at: now.checked_sub(age).unwrap_or(now),
-    };
+    let loads = batch.endpoints.iter().zip(&batch.loads).zip(&batch.ages_ms);
     for pool in gateway.all_pools() {
-        pool.with_pool(|pool| pool.record_rank_state(address, state));
+        pool.with_pool(|pool| {
+            for ((key, load), age_ms) in loads.clone() {
+                let age = Duration::from_millis(u64::from(*age_ms));
+                let state = RankState {
+                    open: load % 2 == 1,
+                    requests: load / 2,
+                    observed_at: now.checked_sub(age).unwrap_or(now),
+                };
+                pool.record_rank_state_by_key(*key, state);
+            }
+        });
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,5 +1,6 @@
 //! [`Gateway`]: shared state and startup of one gateway.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -13,6 +14,7 @@
 
 use crocustally_core::Digest;
 use crocustally_core::dispatch::CrashTracker;
+use crocustally_core::dispatch::GatewaySet;
 use crocustally_core::dispatch::LimiterSettings;
 use crocustally_core::dispatch::PoolSettings;
 use crocustally_core::fleet::Registry;
@@ -36,8 +38,9 @@
 use crate::frontend;
 use crate::slots::SlotPool;
 
-/// Headroom for gateways that this one does not know of yet, in every budget that gateways share.
-const UNKNOWN_GATEWAYS_MAX: u32 = 4;
+/// Time without mention by any control instance after which another gateway no longer counts: more
+/// than two of their complete lists.
+const GATEWAY_EXPIRY: Duration = Duration::from_secs(150);
 /// Idle timeout of callers' connections; callers reuse one for up to 12 s.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(25);
 /// Time for which a stopping gateway keeps accepting connections: the platform redirects callers
@@ -62,7 +65,10 @@
     /// Raft log index of `evacuated`.
     pub(crate) applied_index: u64,
     pub(crate) evacuated: BTreeSet<String>,
-    pub(crate) gateway_count: u32,
+    /// When each other gateway was last listed by a control instance, by its identity.
+    pub(crate) gateways: BTreeMap<u64, Instant>,
+    /// Whether a complete list of the gateways has arrived.
+    pub(crate) gateways_complete: bool,
     pub(crate) crash_tracker: CrashTracker,
     /// Clients of the control instances that the gateway follows.
     pub(crate) control_clients: HashMap<SocketAddr, ControlClient<Channel>>,
@@ -74,6 +80,19 @@
     pub(crate) fetching_policy: bool,
 }
 
+impl FleetState {
+    /// Records gateways that a control instance has listed; returns whether the set has changed.
+    pub(crate) fn record_gateways(&mut self, now: Instant, ids: &[u64], complete: bool) -> bool {
+        let before = (self.gateways.len(), self.gateways_complete);
+        let added = ids.iter().filter(|id| self.gateways.insert(**id, now).is_none()).count();
+        self.gateways_complete |= complete;
+        if complete {
+            self.gateways.retain(|_, at| now.saturating_duration_since(*at) < GATEWAY_EXPIRY);
+        }
+        added > 0 || before != (self.gateways.len(), self.gateways_complete)
+    }
+}
+
 /// One gateway.
 pub struct Gateway {
     pub(crate) cfg: GatewaySettings,
@@ -226,7 +245,11 @@
     }
 
     fn pool_settings(&self, policy: &TrafficPolicy, service: &ServicePolicy) -> PoolSettings {
-        let gateways_known = self.fleet().gateway_count.max(1);
+        let own = Digest::of(&[self.cfg.name.as_bytes()]).to_u64();
+        let fleet = self.fleet();
+        let others = fleet.gateways.keys().copied();
+        let gateways = GatewaySet::new(own, others, fleet.gateways_complete);
+        drop(fleet);
         let gap = policy.tightest_event_gap(&service.name).unwrap_or(DEFAULT_EVENT_GAP);
         let limiter = service.engine.as_ref().map(|e| LimiterSettings {
             pass_target: gap.mul_f64(self.cfg.pass_target_share),
@@ -245,10 +268,9 @@
             retry_span: self.cfg.retry_span,
             retry_slack: self.cfg.retry_slack,
             cold_per_s: service.cold_per_s * self.cfg.cold_factor + self.cfg.cold_slack,
-            gateways_max: gateways_known + UNKNOWN_GATEWAYS_MAX,
-            gateways_known,
+            gateways,
             connections_max: service.connections_max,
-            seed: Digest::of(&[self.cfg.name.as_bytes()]).to_u64(),
+            seed: own,
         }
     }
 
--- a/crates/log/src/handle.rs
+++ b/crates/log/src/handle.rs
@@ -9,6 +9,7 @@
 use std::sync::RwLock;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_channel::Receiver;
 use async_channel::Sender;
@@ -81,6 +82,9 @@
     events: Option<Sender<Event>>,
     view: RwLock<Option<LogView>>,
     names: Mutex<HashMap<ReplicaId, String>>,
+    /// When the last message of each instance arrived, by name.
+    heard_at: Mutex<HashMap<String, Instant>>,
+    clock: Arc<dyn Clock>,
     state_machines: Sender<Arc<StateMachine>>,
 }
 
@@ -132,6 +136,8 @@
             events: id.is_some().then_some(events_tx),
             view: RwLock::new(None),
             names: Mutex::new(id.map(|id| (id, own_name)).into_iter().collect()),
+            heard_at: Mutex::new(HashMap::new()),
+            clock: clock.clone(),
             state_machines,
             cfg,
         };
@@ -229,6 +235,21 @@
         std::iter::once(own).chain(self.all_peers().iter().map(|p| p.address)).collect()
     }
 
+    /// Addresses of the other instances whose replicas have sent a message within `age`.
+    pub fn responding_peers(&self, age: Duration) -> Vec<SocketAddr> {
+        let now = self.shared.clock.now();
+        let heard_at = self.shared.heard_at.lock().unwrap_or_else(PoisonError::into_inner);
+        let responds = |p: &Peer| {
+            heard_at.get(&p.name).is_some_and(|at| now.saturating_duration_since(*at) < age)
+        };
+        self.all_peers().iter().filter(|p| responds(p)).map(|p| p.address).collect()
+    }
+
+    /// Address of this instance.
+    pub fn own_address(&self) -> SocketAddr {
+        self.shared.cfg.address
+    }
+
     /// Address of the leader, if known locally.
     pub fn leader_address(&self) -> Option<SocketAddr> {
         let name = self.leader()?;
@@ -334,6 +355,9 @@
 
     /// Handles messages from another replica; they are dropped unless `to` is the local replica.
     pub fn receive(&self, from: ReplicaId, to: ReplicaId, name: String, messages: Vec<Message>) {
+        let mut heard_at = self.shared.heard_at.lock().unwrap_or_else(PoisonError::into_inner);
+        heard_at.insert(name.clone(), self.shared.clock.now());
+        drop(heard_at);
         self.record_name(from, name);
         if let (Some(events), true) = (&self.shared.events, self.shared.id == Some(to)) {
             let _ = events.try_send(Event::Messages { from, messages });
--- a/crates/rank/src/agent.rs
+++ b/crates/rank/src/agent.rs
@@ -23,17 +23,19 @@
 use crocustally_net::timeout;
 use crocustally_wire::ExpertList;
 use crocustally_wire::OrderResult;
+use crocustally_wire::Placement;
 use crocustally_wire::RankLoad;
 use crocustally_wire::RankOrder;
 use crocustally_wire::RankOrders;
 use crocustally_wire::RankReport;
-use crocustally_wire::SetMap;
+use crocustally_wire::SetPlacement;
 use crocustally_wire::control_client::ControlClient;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
+use prost::Message as _;
 
 use crate::EngineDialect;
 use crate::EngineOrder;
@@ -45,6 +47,8 @@
 const COUNTER_READ_INTERVAL_MIN: Duration = Duration::from_millis(30);
 /// Delay after a failed read of the engine or a failed report.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Delay after a redirect to the leader.
+const REDIRECT_DELAY: Duration = Duration::from_millis(20);
 /// Timeout of a request to the local engine, and of connecting to any engine.
 const ENGINE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Timeout of an order to an engine. Engines reply at once, also to orders that take time.
@@ -110,8 +114,12 @@
         let mut reading = Reading::default();
         let mut results = Vec::new();
         let mut coordinator: Option<(SocketAddr, ControlClient<Channel>)> = None;
+        // Term and block of versions of the redirect that the next report follows.
+        let mut redirect: Option<(u64, u64)> = None;
+        // Epoch and version of the map whose experts the coordinator knows.
+        let mut reported_map: Option<(u64, u64)> = None;
         while !shutdown.is_requested() {
-            if !self.read(&mut reading).await {
+            if !self.read(&mut reading, results.is_empty()).await {
                 sleep(RETRY_DELAY).await;
                 continue;
             }
@@ -124,23 +132,38 @@
                 sleep(RETRY_DELAY).await;
                 continue;
             };
-            let report = self.report(&reading, std::mem::take(&mut results));
+            let mut report = self.report(&reading, std::mem::take(&mut results));
+            (report.term, report.block) = redirect.take().unwrap_or_default();
+            let map = reading.experts.as_ref().map(|e| e.map);
+            if map.is_some() && map == reported_map {
+                report.experts.clear();
+            }
+            reported_map = map;
             reading.selections = None;
             let Some(Ok(orders)) = timeout(REPORT_TIMEOUT, client.attend(report)).await else {
+                reported_map = None;
                 log::warn!(control = address.to_string().as_str(); "report to coordinator failed");
                 self.search().record_timeout(self.clock.now(), address);
                 sleep(RETRY_DELAY).await;
                 continue;
             };
-            let RankOrders { code, leader, orders } = orders.into_inner();
+            let RankOrders { code, leader, orders, term, block } = orders.into_inner();
             if code != 0 {
+                reported_map = None;
                 let leader: Option<SocketAddr> = leader.parse().ok();
                 let leader =
                     leader.and_then(|l| self.search().redirect_target(self.clock.now(), l));
                 match leader {
-                    Some(leader) => coordinator = Some(self.connect(leader)),
+                    Some(leader) => {
+                        coordinator = Some(self.connect(leader));
+                        redirect = Some((term, block));
+                    }
                     None => sleep(RETRY_DELAY).await,
                 }
+                // Two instances that redirect to each other would keep the agent busy.
+                if block == 0 {
+                    sleep(REDIRECT_DELAY).await;
+                }
                 continue;
             }
             for order in orders {
@@ -160,10 +183,11 @@
         (address, ControlClient::with_origin(channel.clone(), channel.origin()))
     }
 
-    /// Reads the engine's state, and its counters and experts when due.
+    /// Reads the engine's state, and its counters and experts when due. The counters are left out
+    /// while the group may be waiting for the report: without `counters`, and while a switch is armed.
     ///
     /// Returns false if the state cannot be read or the engine is not a rank.
-    async fn read(&self, reading: &mut Reading) -> bool {
+    async fn read(&self, reading: &mut Reading, counters: bool) -> bool {
         let engine = self.cfg.engine;
         let Some(body) = self.get(engine, self.dialect.state_path()).await else { return false };
         let Some(state) = self.dialect.decode_state(&body) else {
@@ -184,9 +208,11 @@
         }
         reading.state = state;
         let now = self.clock.now();
-        let due = reading
-            .counters_read_at
-            .is_none_or(|at| now.saturating_duration_since(at) >= COUNTER_READ_INTERVAL_MIN);
+        let due = counters
+            && reading.state.status.armed.is_none()
+            && reading
+                .counters_read_at
+                .is_none_or(|at| now.saturating_duration_since(at) >= COUNTER_READ_INTERVAL_MIN);
         if due && let Some(body) = self.get(engine, self.dialect.counters_path()).await {
             let counters = self.dialect.decode_counters(&body);
             reading.selections = counters.and_then(|c| reading.counters.read(c));
@@ -241,13 +267,18 @@
             counted_to: selections.to,
             experts: experts.iter().map(list).collect(),
             results,
+            ..RankReport::default()
         }
     }
 
     /// Sends an order to its engine and returns the outcome as encoded in [`OrderResult`].
     async fn execute(&self, order: &RankOrder) -> u32 {
         let Ok(address) = order.address.parse() else { return 3 };
-        let sets: Vec<Vec<Vec<u32>>> = order.sets.iter().map(experts_by_rank).collect();
+        let Ok(placement) = Placement::decode(order.placement.clone()) else {
+            log::warn!(number = order.number; "malformed placement in an order");
+            return 3;
+        };
+        let sets: Vec<Vec<Vec<u32>>> = placement.sets.iter().map(experts_by_rank).collect();
         let (version, step) = (order.version, order.step);
         let engine_order = match order.kind {
             1 => EngineOrder::Prepare { version, sets: &sets },
@@ -312,6 +343,8 @@
     }
 }
 
-fn experts_by_rank(set: &SetMap) -> Vec<Vec<u32>> {
-    set.ranks.iter().map(|r| r.experts.clone()).collect()
+/// Experts of a set by rank. Counts beyond the listed experts are cut.
+fn experts_by_rank(set: &SetPlacement) -> Vec<Vec<u32>> {
+    let mut experts = set.experts.iter().copied();
+    set.counts.iter().map(|n| experts.by_ref().take(*n as usize).collect()).collect()
 }
