Endpoints that send without end: bounded memory and time, and no occupied thread

Cause: a response body and an unfinished event had no bound, a stalled stream that sent a byte now and then kept its time limit from running out, and an endless chunk-size line (zeros are skipped by the parser) kept a task inside one poll for as long as the endpoint kept up: the thread of the executor was occupied and the connection could not be closed. Ruled out: endless heads and header lines, which the HTTP library bounds by itself. Conclusion: covers the gateway's path; the entry reaches endpoints through agents only.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -7,13 +7,15 @@
 #[derive(Clone, Debug, Default)]
 pub struct EventBuffer {
     buf: BytesMut,
+    /// Length of the start of `buf` in which no event ends.
+    scanned: usize,
     last_id: Option<u64>,
 }
 
 impl EventBuffer {
     /// Creates a buffer for a stream that resumes after the event `last_id`.
     pub fn after(last_id: Option<u64>) -> Self {
-        Self { buf: BytesMut::new(), last_id }
+        Self { last_id, ..Self::default() }
     }
 
     /// Appends received bytes.
@@ -25,7 +27,12 @@
     /// skipped, since a resumed stream may repeat them.
     pub fn next_event(&mut self) -> Option<Bytes> {
         loop {
-            let end = event_end(&self.buf)?;
+            let Some(end) = event_end(&self.buf, self.scanned) else {
+                // The end may have arrived in part.
+                self.scanned = self.buf.len().saturating_sub(2);
+                return None;
+            };
+            self.scanned = 0;
             let event = self.buf.split_to(end).freeze();
             match event_id(&event) {
                 Some(id) if self.last_id.is_some_and(|last| id <= last) => {}
@@ -43,15 +50,21 @@
         self.last_id
     }
 
+    /// Length of the incomplete event in bytes.
+    pub fn incomplete_len(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Takes the incomplete remainder after the end of the stream.
     pub fn take_remaining(&mut self) -> Bytes {
+        self.scanned = 0;
         self.buf.split().freeze()
     }
 }
 
-/// Index after the first event, including its blank line.
-fn event_end(buf: &[u8]) -> Option<usize> {
-    let mut i = 0;
+/// Index after the first event, including its blank line, which begins at `from` at the earliest.
+fn event_end(buf: &[u8], from: usize) -> Option<usize> {
+    let mut i = from;
     while i < buf.len() {
         if buf[i..].starts_with(b"\n\n") {
             return Some(i + 2);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -38,6 +38,13 @@
     /// Retries allowed in addition, across all gateways.
     #[serde(default = "default_retry_slack")]
     pub retry_slack: f64,
+    /// Maximum length of an endpoint's response body in bytes, except for streams. A longer one
+    /// counts as broken.
+    #[serde(default = "default_response_bytes_max")]
+    pub response_bytes_max: usize,
+    /// Maximum length of one event of a stream in bytes. A longer one counts as broken.
+    #[serde(default = "default_event_bytes_max")]
+    pub event_bytes_max: usize,
     /// Factor on the request rate of a cold endpoint.
     #[serde(default = "default_cold_factor")]
     pub cold_factor: f64,
@@ -74,6 +81,16 @@
     10.0
 }
 
+/// 8 MiB: far above the responses of services, and a fiftieth of a gateway's memory.
+fn default_response_bytes_max() -> usize {
+    8 * 1024 * 1024
+}
+
+/// 256 KiB: an event carries the text of a few tokens.
+fn default_event_bytes_max() -> usize {
+    256 * 1024
+}
+
 fn default_retry_slack() -> f64 {
     40.0
 }
@@ -121,6 +138,10 @@
     pub retry_span: Duration,
     /// Retries allowed in addition, across all gateways.
     pub retry_slack: f64,
+    /// Maximum length of an endpoint's response body in bytes, except for streams.
+    pub response_bytes_max: usize,
+    /// Maximum length of one event of a stream in bytes.
+    pub event_bytes_max: usize,
     /// Factor on the request rate of a cold endpoint.
     pub cold_factor: f64,
     /// Requests per second that a cold endpoint gets in addition, across all gateways.
@@ -167,8 +188,14 @@
                 return Err(SettingsError::invalid(key, "must be more than 0"));
             }
         }
-        if raw.threads == 0 {
-            return Err(SettingsError::invalid("threads", "must be 1 or more"));
+        for (key, n) in [
+            ("threads", raw.threads),
+            ("response_bytes_max", raw.response_bytes_max),
+            ("event_bytes_max", raw.event_bytes_max),
+        ] {
+            if n == 0 {
+                return Err(SettingsError::invalid(key, "must be 1 or more"));
+            }
         }
         let mut controls = Vec::new();
         for text in &raw.seeds {
@@ -186,6 +213,8 @@
             retry_ratio: raw.retry_ratio,
             retry_span: Duration::from_secs_f64(raw.retry_span_s),
             retry_slack: raw.retry_slack,
+            response_bytes_max: raw.response_bytes_max,
+            event_bytes_max: raw.event_bytes_max,
             cold_factor: raw.cold_factor,
             cold_slack: raw.cold_slack,
             pass_target_share: raw.pass_target_share,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -136,8 +136,9 @@
     mut response: Box<EndpointResponse>,
 ) -> OpenError {
     let time_left = ex.remaining();
-    let body = timeout(time_left, upstream::collect_body(&mut response.body)).await.flatten();
-    let Some(body) = body else {
+    let limit = ex.gateway.cfg.response_bytes_max;
+    let body = upstream::collect_body(&mut response.body, limit);
+    let Some(body) = timeout(time_left, body).await.flatten() else {
         ex.record_attempt(slot, RequestOutcome::Broken);
         return OpenError::Interrupted;
     };
@@ -174,7 +175,12 @@
             source.slot.record_response_start();
             return StreamItem::Events(events.freeze());
         }
-        let time_limit = SILENCE_TIMEOUT.min(ex.remaining());
+        if source.buf.incomplete_len() > ex.gateway.cfg.event_bytes_max {
+            return StreamItem::Interrupted(RequestOutcome::Broken);
+        }
+        // Bytes that complete no event do not count, so a stalled stream cannot keep itself open.
+        let silence = ex.now().saturating_duration_since(source.last_received);
+        let time_limit = SILENCE_TIMEOUT.saturating_sub(silence).min(ex.remaining());
         match timeout(time_limit, source.response.body.frame()).await {
             None => return StreamItem::Interrupted(RequestOutcome::Silent),
             Some(Some(Ok(frame))) => {
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -49,9 +49,9 @@
                 let mut slot = slot;
                 slot.record_response_start();
                 let time_left = ex.remaining();
-                let body =
-                    timeout(time_left, upstream::collect_body(&mut response.body)).await.flatten();
-                let Some(body) = body else {
+                let limit = ex.gateway.cfg.response_bytes_max;
+                let body = upstream::collect_body(&mut response.body, limit);
+                let Some(body) = timeout(time_left, body).await.flatten() else {
                     ex.record_attempt(slot, RequestOutcome::Broken);
                     if ex.can_rerun() && ex.can_send() {
                         continue;
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -11,6 +11,7 @@
 use crocustally_net::timeout;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::http::response;
@@ -130,7 +131,7 @@
     true
 }
 
-/// Reads the complete body; `None` if the connection broke.
-pub(crate) async fn collect_body(body: &mut Incoming) -> Option<Bytes> {
-    body.collect().await.ok().map(|b| b.to_bytes())
+/// Reads the complete body; `None` if the connection broke or the body is longer than `limit` bytes.
+pub(crate) async fn collect_body(body: &mut Incoming, limit: usize) -> Option<Bytes> {
+    Limited::new(body, limit).collect().await.ok().map(|b| b.to_bytes())
 }
--- a/crates/net/src/http_client.rs
+++ b/crates/net/src/http_client.rs
@@ -22,6 +22,7 @@
 use crate::connect::set_ack_timeout;
 use crate::connect::set_reset_on_close;
 use crate::timeout;
+use crate::yielding_io::YieldingIo;
 
 /// Timeouts and socket options of a client's connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -170,8 +171,8 @@
         if self.cfg.reset_on_close {
             set_reset_on_close(&stream);
         }
-        let (mut tx, conn) =
-            http1::handshake(FuturesIo::new(stream)).await.map_err(|_| HttpError::Unreachable)?;
+        let io = FuturesIo::new(YieldingIo::new(stream));
+        let (mut tx, conn) = http1::handshake(io).await.map_err(|_| HttpError::Unreachable)?;
         let io = self.rt.spawn_task(async move {
             // An error of the connection is reported by the request on it.
             let _ = conn.await;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -26,6 +26,7 @@
 mod settings;
 mod shutdown;
 mod telemetry;
+mod yielding_io;
 
 pub use admin::AdminSettings;
 pub use admin::AdminState;
