Cold endpoints are used right after a restart of all processes; small groups keep their maps early

The most gateways that ever followed is now kept in the log; until the list is complete, a gateway divides by it, or its hash decides. - Connections to an instance without power hung for 1 s (the opening packet is sent again only then): 400 ms now, as towards endpoints. - In groups of 8 ranks, the counters left out of reports after orders and a lead of two passes cost more than they saved. Counters are left out above 32 ranks only, and a group may wait for 0.3 of a pass. Ruled out: the bound on streams in flight (old and new differ by what was sent while a report travelled).

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -33,6 +33,7 @@
 use crocustally_wire::RankOrders;
 use crocustally_wire::RankReport;
 use crocustally_wire::Update;
+use crocustally_wire::command::Kind;
 use crocustally_wire::control_server::ControlServer;
 use crocustally_wire::replica_server::ReplicaServer;
 
@@ -54,6 +55,8 @@
 /// Time without a message of its replica after which an instance coordinates no more groups. Replicas
 /// answer the leader's heartbeats several times as often.
 const PEER_RESPONSE_TIME: Duration = Duration::from_millis(800);
+/// Minimum time between two records of the number of gateways.
+const GATEWAYS_RECORD_PERIOD: Duration = Duration::from_secs(1);
 /// Code of the reply to a report on a group that another instance coordinates.
 const NO_QUORUM: u32 = Code::NoQuorum as u32;
 
@@ -107,7 +110,7 @@
             cfg,
         });
         rt.spawn(control.clone().watch_log(state_machines));
-        rt.spawn(control.clone().flush_loop());
+        rt.spawn(control.clone().flush_loop(rt.clone()));
         let stopping = (control.clone(), shutdown.clone());
         rt.spawn(async move {
             stopping.1.wait().await;
@@ -160,14 +163,16 @@
             let before = self.state_machine();
             *self.state_machine.write().unwrap_or_else(PoisonError::into_inner) = machine.clone();
             let unchanged = before.policy().version == machine.policy().version
-                && before.evacuated() == machine.evacuated();
+                && before.evacuated() == machine.evacuated()
+                && before.gateways() == machine.gateways();
             if unchanged && before.last_applied() > 0 {
                 continue;
             }
             log::info!(
                 policy = machine.policy().version,
                 applied = machine.last_applied(),
-                evacuated = format!("{:?}", machine.evacuated()).as_str();
+                evacuated = format!("{:?}", machine.evacuated()).as_str(),
+                gateways = machine.gateways();
                 "replicated state changed"
             );
             self.apply_policy(&machine);
@@ -284,8 +289,16 @@
         self.coordinator.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn flush_loop(self: Arc<Self>) {
+    /// Records a number of gateways in the log, so that it outlasts a restart of all processes.
+    async fn record_gateways(self: Arc<Self>, count: u32) {
+        if self.log.propose(Kind::Gateways(count), GATEWAYS_RECORD_PERIOD).await.is_err() {
+            log::warn!(gateways = count; "number of gateways not recorded, trying again");
+        }
+    }
+
+    async fn flush_loop(self: Arc<Self>, rt: Runtime) {
         let mut controls = Vec::new();
+        let mut gateways_recorded_at = self.clock.now();
         loop {
             sleep(FLUSH_PERIOD).await;
             let now = self.clock.now();
@@ -293,6 +306,12 @@
             let version = self.state_machine().policy().version;
             let mut soft_state = self.soft_state();
             soft_state.flush(now, version);
+            let gateways = soft_state.gateways();
+            let due = now.saturating_duration_since(gateways_recorded_at) >= GATEWAYS_RECORD_PERIOD;
+            if due && gateways > self.state_machine().gateways() && self.log.is_leader() {
+                gateways_recorded_at = now;
+                rt.spawn(self.clone().record_gateways(gateways));
+            }
             if addresses != controls {
                 let text = addresses.iter().map(ToString::to_string).collect();
                 soft_state.broadcast(Update { controls: text, ..Update::default() });
--- a/crates/control/src/soft_state.rs
+++ b/crates/control/src/soft_state.rs
@@ -25,7 +25,7 @@
 /// requests, so its part of the shared budgets stays reserved until then.
 const EXPIRY_TIME: Duration = Duration::from_secs(60);
 /// Time after the start in which all gateways subscribe again: several of their attempts.
-const GATEWAYS_RETURN: Duration = Duration::from_secs(3);
+const GATEWAYS_RETURN: Duration = Duration::from_secs(2);
 /// Interval between updates that list all gateways. Gateways that join are announced at once.
 const GATEWAYS_PERIOD: Duration = Duration::from_secs(60);
 /// Suspects kept for subscribers that connect later.
@@ -189,6 +189,11 @@
         });
     }
 
+    /// Number of gateways that follow this instance or did so lately.
+    pub(crate) fn gateways(&self) -> u32 {
+        self.gateways.len() as u32
+    }
+
     /// Number of connected subscribers.
     pub(crate) fn subscribers(&self) -> usize {
         self.subscribers.len()
@@ -216,6 +221,7 @@
     Update {
         applied: machine.last_applied(),
         policy_version: machine.policy().version,
+        gateways_expected: machine.gateways(),
         evacuations: Some(Evacuations { domains: machine.evacuated().iter().cloned().collect() }),
         ..Update::default()
     }
--- a/crates/core/src/control/state_machine.rs
+++ b/crates/core/src/control/state_machine.rs
@@ -35,6 +35,8 @@
     claims: Claims,
     suspects: Suspects,
     policy: PolicyDocument,
+    /// The most gateways that have ever followed the control instances at a time.
+    gateways: u32,
     evacuated: BTreeSet<String>,
     /// Index of the last command applied on this replica.
     last_applied: u64,
@@ -74,6 +76,10 @@
                 self.set_evacuation(e);
                 OutcomeKind::Done(true)
             }
+            Some(Kind::Gateways(count)) => {
+                self.gateways = self.gateways.max(count);
+                OutcomeKind::Done(true)
+            }
             Some(Kind::ReadPolicy(_)) => OutcomeKind::Policy(self.policy.clone()),
             None => OutcomeKind::Done(false),
         };
@@ -100,6 +106,11 @@
         &self.policy
     }
 
+    /// The most gateways that have ever followed the control instances at a time.
+    pub fn gateways(&self) -> u32 {
+        self.gateways
+    }
+
     /// Names of the failure domains that are evacuated and get no new work.
     pub fn evacuated(&self) -> &BTreeSet<String> {
         &self.evacuated
@@ -130,6 +141,7 @@
             claim_floor_ms,
             expired,
             policy: Some(self.policy.clone()),
+            gateways: self.gateways,
             evacuated: self.evacuated.iter().cloned().collect(),
             applied: self.last_applied,
         };
@@ -147,6 +159,7 @@
             claims: Claims::import(state.claims, &state.expired, state.claim_floor_ms),
             suspects: Suspects::import(state.suspects),
             policy: state.policy.unwrap_or_default(),
+            gateways: state.gateways,
             evacuated: state.evacuated.into_iter().collect(),
             last_applied: state.applied,
         })
--- a/crates/core/src/dispatch/gateway_set.rs
+++ b/crates/core/src/dispatch/gateway_set.rs
@@ -4,6 +4,12 @@
 
 /// Headroom in every shared limit for gateways that this one does not know of.
 const UNKNOWN_GATEWAYS_MAX: u32 = 4;
+/// Divisor of a limit below the number of gateways; the quotient stays free for gateways that have
+/// just restarted.
+const RESTART_RESERVE_DIVISOR: u32 = 4;
+/// Divisor of the same limit; the quotient is what gateways that have all just restarted use in the
+/// mean. The number of them that have a part varies, so it is far below the limit.
+const RESTART_MEAN_DIVISOR: u32 = 3;
 
 /// The gateways that one of them knows, itself included.
 ///
@@ -16,13 +22,20 @@
     own: u64,
     others: Arc<[u64]>,
     complete: bool,
+    expected: u32,
 }
 
 impl GatewaySet {
     /// The gateway `own` and the others that it knows. `complete` tells whether they include all
     /// gateways but the few that have joined most recently.
     pub fn new(own: u64, others: impl IntoIterator<Item = u64>, complete: bool) -> Self {
-        Self { own, others: others.into_iter().filter(|id| *id != own).collect(), complete }
+        let others = others.into_iter().filter(|id| *id != own).collect();
+        Self { own, others, complete, expected: 0 }
+    }
+
+    /// Sets the most gateways that there have ever been, which counts until the set is complete.
+    pub fn with_expected(self, expected: u32) -> Self {
+        Self { expected, ..self }
     }
 
     /// Number of known gateways, at least 1.
@@ -40,16 +53,39 @@
         self.complete
     }
 
-    /// This gateway's part of a limit of the endpoint `key`; 0 if other gateways have all of it.
+    /// This gateway's part of a limit of the endpoint `key`; 0 if other gateways have all of it, and
+    /// before the gateway knows how many others there are.
     pub fn share(&self, key: u64, limit: u32) -> u32 {
+        if !self.complete {
+            return self.share_after_restart(key, limit);
+        }
         let even = limit / self.upper_bound();
         let remainder = limit % self.upper_bound();
-        // What unknown gateways may count on as their part of the remainder stays free.
-        let first = remainder.saturating_sub(UNKNOWN_GATEWAYS_MAX);
-        let first = if even == 0 { first.max(1).min(limit) } else { first };
+        // What other gateways may count on as their part of the remainder stays free.
+        let first = if even == 0 {
+            let reserve = UNKNOWN_GATEWAYS_MAX.max(limit / RESTART_RESERVE_DIVISOR);
+            remainder.saturating_sub(reserve).max(1).min(limit)
+        } else {
+            remainder.saturating_sub(UNKNOWN_GATEWAYS_MAX)
+        };
         even + u32::from(self.rank(key, first) < first)
     }
 
+    /// The part of a gateway that does not know which others there are, but how many at most. It
+    /// cannot rank itself, so its hash alone decides whether it has a part of a small limit.
+    fn share_after_restart(&self, key: u64, limit: u32) -> u32 {
+        if self.expected == 0 {
+            return 0;
+        }
+        let gateways = self.expected.max(self.known()) + UNKNOWN_GATEWAYS_MAX;
+        let even = limit / gateways;
+        if even > 0 {
+            return even;
+        }
+        let part = f64::from(limit / RESTART_MEAN_DIVISOR) / f64::from(gateways);
+        u32::from((mix(self.own, key) as f64) < part * u64::MAX as f64)
+    }
+
     /// Number of gateways that rank before this one for `key`; counted up to `most` only.
     fn rank(&self, key: u64, most: u32) -> u32 {
         let own = mix(self.own, key);
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -494,19 +494,17 @@
         Some(candidates[index].0)
     }
 
-    /// This gateway's part of the requests per second that a cold endpoint may get. A gateway that
-    /// does not know the others yet has none.
+    /// This gateway's part of the requests per second that a cold endpoint may get.
     fn cold_share(&self, m: &Member) -> u32 {
-        let gateways = &self.cfg.gateways;
-        if !gateways.is_complete() {
-            return 0;
-        }
-        gateways.share(m.key_hash, self.cfg.cold_per_s.max(1.0) as u32)
+        self.cfg.gateways.share(m.key_hash, self.cfg.cold_per_s.max(1.0) as u32)
     }
 
-    /// This gateway's part of the connections that an endpoint accepts.
+    /// This gateway's part of the connections that an endpoint accepts. One that does not know the
+    /// others yet has one, as its callers have no other gateway.
     fn connection_share(&self, m: &Member) -> u32 {
-        self.cfg.gateways.share(m.key_hash, self.cfg.connections_max)
+        let gateways = &self.cfg.gateways;
+        let least = u32::from(!gateways.is_complete());
+        gateways.share(m.key_hash, self.cfg.connections_max).max(least)
     }
 
     /// Sums up the load of all endpoints. Draining ranks still take part in every forward pass, so
--- a/crates/core/src/experts/handover.rs
+++ b/crates/core/src/experts/handover.rs
@@ -100,6 +100,9 @@
 const LEAD_PASSES_MAX: u64 = 4;
 /// Distance while orders get lost, which leaves time to resend them before the pass would start.
 const LEAD_PASSES_LOSSY: u64 = 4;
+/// Part of a pass for which the group may wait for a switch. One more pass with the old map, which
+/// takes longer after a popularity shift, would cost about as much.
+const STALL_PASSES_MAX: f64 = 0.3;
 /// Weight of the newest measurement in the means of pass time and switch time.
 const MEAN_WEIGHT: f64 = 0.4;
 /// Gaps between two reported passes beyond this are idle time or a stall, not pass time.
@@ -306,16 +309,29 @@
         self.last_pass = Some((step, now));
     }
 
+    /// Updates the mean switch time, except while orders get lost, which says nothing about the time
+    /// of later rounds.
+    fn record_switch(&mut self, now: Instant) {
+        if let Some(since) = self.switch_since.take()
+            && !self.is_lossy(now)
+        {
+            let took = now.saturating_duration_since(since);
+            self.switch_time = Some(mean(self.switch_time, took));
+        }
+    }
+
+    fn is_lossy(&self, now: Instant) -> bool {
+        self.last_loss_at.is_some_and(|at| now.saturating_duration_since(at) < LOSSY_PERIOD)
+    }
+
     /// Passes between the last started one and the one to hold.
     fn lead_passes(&self, now: Instant) -> u64 {
-        let lossy =
-            self.last_loss_at.is_some_and(|at| now.saturating_duration_since(at) < LOSSY_PERIOD);
-        if lossy {
+        if self.is_lossy(now) {
             return LEAD_PASSES_LOSSY;
         }
         let (Some(pass), Some(switch)) = (self.pass_time, self.switch_time) else { return 1 };
         let passes = switch.as_secs_f64() / pass.as_secs_f64().max(1e-3);
-        (passes.ceil() as u64).clamp(1, LEAD_PASSES_MAX)
+        ((passes - STALL_PASSES_MAX).ceil() as u64).clamp(1, LEAD_PASSES_MAX)
     }
 
     /// Processes the outcome of an order that was sent to `rank`.
@@ -478,10 +494,7 @@
             }
             HandoverPhase::Arming { version, step } => {
                 if self.statuses().all(|v| v.armed == Some((version, step)) || v.map == version) {
-                    if let Some(since) = self.switch_since.take() {
-                        let took = now.saturating_duration_since(since);
-                        self.switch_time = Some(mean(self.switch_time, took));
-                    }
+                    self.record_switch(now);
                     self.enter_phase(now, HandoverPhase::Going { version, step });
                 }
             }
--- a/crates/core/tests/shared_limits.rs
+++ b/crates/core/tests/shared_limits.rs
@@ -103,6 +103,20 @@
     }
 }
 
+/// All processes lose power: the gateways know how many there were, from the log, but not yet which,
+/// and all endpoints are cold. They must be served all the same.
+#[test]
+fn cold_endpoints_are_used_right_after_a_restart_of_all_gateways() {
+    for gateways in [4, 58, 400] {
+        let start = Instant::now();
+        let set = |own| GatewaySet::new(identity(own), [], false).with_expected(gateways as u32);
+        let mut pools: Vec<Pool> = (0..gateways).map(|own| pool(start, set(own))).collect();
+        let (most, sent) = most_in_one_second(&mut pools, start, 1);
+        assert!(most <= COLD_PER_S as usize, "{gateways} gateways: {most} in 1 s");
+        assert!(sent.iter().all(|n| *n >= 3), "{gateways} gateways: unused: {sent:?}");
+    }
+}
+
 /// Half of the gateways are cut off from the control instances. Of these, some have restarted and
 /// know nobody, and four new gateways are known to nobody.
 #[test]
@@ -114,7 +128,7 @@
             let cut_off = own % 2 == 0;
             let restarted = cut_off && own % 6 == 0;
             let set = if restarted {
-                GatewaySet::new(identity(own), [], false)
+                GatewaySet::new(identity(own), [], false).with_expected(gateways as u32)
             } else {
                 GatewaySet::new(identity(own), (0..gateways).map(identity), true)
             };
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -91,10 +91,13 @@
         }
         pools_changed = true;
     }
-    if !update.gateways.is_empty() || update.gateways_complete {
+    if !update.gateways.is_empty() || update.gateways_complete || update.gateways_expected > 0 {
         let now = gateway.clock.now();
-        let changed =
-            gateway.fleet().record_gateways(now, &update.gateways, update.gateways_complete);
+        let mut fleet = gateway.fleet();
+        let mut changed = fleet.record_gateways(now, &update.gateways, update.gateways_complete);
+        changed |= update.gateways_expected > fleet.gateways_expected;
+        fleet.gateways_expected = fleet.gateways_expected.max(update.gateways_expected);
+        drop(fleet);
         if changed {
             gateway.configure_pools();
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -67,6 +67,8 @@
     pub(crate) evacuated: BTreeSet<String>,
     /// When each other gateway was last listed by a control instance, by its identity.
     pub(crate) gateways: BTreeMap<u64, Instant>,
+    /// The most gateways that have ever followed the control instances at a time.
+    pub(crate) gateways_expected: u32,
     /// Whether a complete list of the gateways has arrived.
     pub(crate) gateways_complete: bool,
     pub(crate) crash_tracker: CrashTracker,
@@ -248,7 +250,8 @@
         let own = Digest::of(&[self.cfg.name.as_bytes()]).to_u64();
         let fleet = self.fleet();
         let others = fleet.gateways.keys().copied();
-        let gateways = GatewaySet::new(own, others, fleet.gateways_complete);
+        let gateways = GatewaySet::new(own, others, fleet.gateways_complete)
+            .with_expected(fleet.gateways_expected);
         drop(fleet);
         let gap = policy.tightest_event_gap(&service.name).unwrap_or(DEFAULT_EVENT_GAP);
         let limiter = service.engine.as_ref().map(|e| LimiterSettings {
--- a/crates/net/src/channel.rs
+++ b/crates/net/src/channel.rs
@@ -31,7 +31,7 @@
 use crate::timeout;
 
 /// Timeout for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Why a call failed in transport.
 #[derive(Debug)]
--- a/crates/rank/src/agent.rs
+++ b/crates/rank/src/agent.rs
@@ -47,6 +47,9 @@
 const COUNTER_READ_INTERVAL_MIN: Duration = Duration::from_millis(30);
 /// Delay after a failed read of the engine or a failed report.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Ranks of a group up to which all reports carry counters. In a larger one, a round of such reports
+/// takes the coordinator longer than a forward pass.
+const RANKS_WITH_ALL_COUNTERS_MAX: usize = 32;
 /// Delay after a redirect to the leader.
 const REDIRECT_DELAY: Duration = Duration::from_millis(20);
 /// Timeout of a request to the local engine, and of connecting to any engine.
@@ -119,7 +122,7 @@
         // Epoch and version of the map whose experts the coordinator knows.
         let mut reported_map: Option<(u64, u64)> = None;
         while !shutdown.is_requested() {
-            if !self.read(&mut reading, results.is_empty()).await {
+            if !self.read(&mut reading, !results.is_empty()).await {
                 sleep(RETRY_DELAY).await;
                 continue;
             }
@@ -183,11 +186,12 @@
         (address, ControlClient::with_origin(channel.clone(), channel.origin()))
     }
 
-    /// Reads the engine's state, and its counters and experts when due. The counters are left out
-    /// while the group may be waiting for the report: without `counters`, and while a switch is armed.
+    /// Reads the engine's state, and its counters and experts when due. In a large group, the
+    /// counters are left out while a switch may be waiting for the report: after orders, and while it
+    /// is armed.
     ///
     /// Returns false if the state cannot be read or the engine is not a rank.
-    async fn read(&self, reading: &mut Reading, counters: bool) -> bool {
+    async fn read(&self, reading: &mut Reading, after_orders: bool) -> bool {
         let engine = self.cfg.engine;
         let Some(body) = self.get(engine, self.dialect.state_path()).await else { return false };
         let Some(state) = self.dialect.decode_state(&body) else {
@@ -208,8 +212,10 @@
         }
         reading.state = state;
         let now = self.clock.now();
-        let due = counters
-            && reading.state.status.armed.is_none()
+        let status = &reading.state.status;
+        let awaited =
+            status.size > RANKS_WITH_ALL_COUNTERS_MAX && (after_orders || status.armed.is_some());
+        let due = !awaited
             && reading
                 .counters_read_at
                 .is_none_or(|at| now.saturating_duration_since(at) >= COUNTER_READ_INTERVAL_MIN);
