Maps are switched while some agents of a group are silent

Cause: a plan needed a fresh report of every rank. Ruled out: a rank whose engine is gone: its group breaks and starts a new epoch, which the others report. Now up to a quarter of the ranks may be silent. Their orders go through other agents (priced), which the resending of orders already did; what they have done is known from the answers, and from the pass that all ranks start together. A coordinator gives a group up only above that, or if it never gathers.

--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -88,12 +88,12 @@
     ) -> bool {
         self.groups.retain(|(service, name), group| {
             let handover = group.ranks.handover();
-            let lost = handover.has_lost_rank(now);
+            let lost = handover.has_lost_ranks(now);
             let keep = group.block.term == term && !handover.is_superseded() && !lost;
             if !keep {
                 log::info!(
                     service = service.as_str(), group = name.as_str(), term = group.block.term,
-                    current_term = term, rank_lost = lost;
+                    current_term = term, ranks_lost = lost;
                     "group given up"
                 );
             }
--- a/crates/core/src/experts/handover.rs
+++ b/crates/core/src/experts/handover.rs
@@ -120,6 +120,8 @@
 const RELAY_AFTER: Duration = Duration::from_millis(500);
 /// The same while a pass may be held.
 const RELAY_AFTER_HELD: Duration = Duration::from_millis(150);
+/// Divisor of the number of ranks; the quotient may be without a working agent.
+const SILENT_RANKS_DIVISOR: usize = 4;
 /// Report age after which the agent of a rank may be reporting elsewhere.
 const LOST_AFTER: Duration = Duration::from_secs(3);
 /// Maximum time to prepare a map before the switch is abandoned.
@@ -160,6 +162,13 @@
     preparing: Option<u64>,
 }
 
+impl TrackedRank {
+    /// Time since the agent's last report.
+    fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.reported_at)
+    }
+}
+
 /// Drives the map switches of one group.
 ///
 /// One rank holds a pass before any rank is armed, and is released only after all ranks are armed, so
@@ -227,18 +236,24 @@
         self.ranks.len()
     }
 
-    /// Version of the map that all ranks use; `None` if a report is missing or stale, the group is
-    /// not running, or the reported maps differ.
+    /// Version of the map that all ranks use; `None` if a report is missing, too many are stale, the
+    /// group is not running, or the reported maps differ.
+    ///
+    /// All ranks execute each pass together, and a rank that restarts breaks the group, so the newest
+    /// reports also speak for a rank whose agent is silent.
     pub fn map_in_use(&self, now: Instant) -> Option<u64> {
         let first = self.ranks.first()?.as_ref()?.status.map;
         let same = |s: &Option<TrackedRank>| {
-            s.as_ref().is_some_and(|s| {
-                now.saturating_duration_since(s.reported_at) < REPORT_AGE_MAX
-                    && s.status.open
-                    && s.status.map == first
-            })
+            s.as_ref().is_some_and(|s| s.status.open && s.status.map == first)
         };
-        self.ranks.iter().all(same).then_some(first)
+        let stale = self.ranks.iter().flatten().filter(|s| s.age(now) >= REPORT_AGE_MAX).count();
+        (self.ranks.iter().all(same) && stale <= self.silent_ranks_max()).then_some(first)
+    }
+
+    /// Number of ranks without a working agent with which the maps are still switched. Their orders
+    /// go through other agents, at a higher price.
+    fn silent_ranks_max(&self) -> usize {
+        self.ranks.len() / SILENT_RANKS_DIVISOR
     }
 
     /// The placement of map `version`, if this coordinator completed the switch to it.
@@ -281,6 +296,7 @@
             self.enter_phase(now, HandoverPhase::Gathering);
         }
         self.record_pass(now, status.step);
+        self.phase_since.get_or_insert(now);
         let rank = status.rank;
         match &mut self.ranks[rank] {
             Some(tracked) => {
@@ -376,13 +392,15 @@
         )
     }
 
-    /// Whether a rank has not been heard of for [`LOST_AFTER`]. Its agent may report to another
-    /// coordinator, so this one should give the group up, unless it has to complete a switch.
-    pub fn has_lost_rank(&self, now: Instant) -> bool {
+    /// Whether more ranks than may be silent have not been heard of for [`LOST_AFTER`], or some have
+    /// never been. Their agents may report to another coordinator, so this one should give the group
+    /// up, unless it has to complete a switch.
+    pub fn has_lost_ranks(&self, now: Instant) -> bool {
         let lost = |at: Instant| now.saturating_duration_since(at) > LOST_AFTER;
         let gathering = self.phase == HandoverPhase::Gathering;
+        let silent = self.ranks.iter().flatten().filter(|r| lost(r.reported_at)).count();
         !self.may_hold_pass()
-            && (self.ranks.iter().flatten().any(|r| lost(r.reported_at))
+            && (silent > self.silent_ranks_max()
                 || (gathering && self.phase_since.is_some_and(lost)))
     }
 
@@ -418,7 +436,11 @@
     fn resend_due(&self, now: Instant, rank: usize, order: &RankOrder) -> bool {
         let Some(Some(tracked)) = self.ranks.get(rank) else { return false };
         let interval = match order {
-            RankOrder::Prepare { version, .. } if tracked.preparing == Some(*version) => {
+            // Of a rank whose agent is silent, only the answer to an order tells that the copies are
+            // complete.
+            RankOrder::Prepare { version, .. }
+                if tracked.preparing == Some(*version) && tracked.age(now) <= RELAY_AFTER =>
+            {
                 PREPARE_TIMEOUT
             }
             RankOrder::Prepare { .. } => RESEND_INTERVAL_PREPARE,
@@ -498,7 +520,8 @@
                     self.enter_phase(now, HandoverPhase::Going { version, step });
                 }
             }
-            HandoverPhase::Going { version, .. } => {
+            HandoverPhase::Going { version, step } => {
+                self.infer_silent_ranks(now, version, step);
                 if self.statuses().all(|v| v.map == version && v.held.is_none()) {
                     self.current = self.next.take().filter(|(v, _)| *v == version);
                     self.enter_phase(now, HandoverPhase::Steady);
@@ -507,6 +530,25 @@
         }
     }
 
+    /// Concludes that ranks whose agents are silent use a map for which they were armed, once all
+    /// others do: the pass has started, and all ranks execute it together.
+    fn infer_silent_ranks(&mut self, now: Instant, version: u64, step: u64) {
+        let switched = |r: &TrackedRank| r.status.map == version;
+        let silent = |r: &TrackedRank| r.age(now) > RELAY_AFTER;
+        if !self.ranks.iter().flatten().all(|r| switched(r) || silent(r))
+            || !self.ranks.iter().flatten().any(|r| switched(r) && !silent(r))
+        {
+            return;
+        }
+        for r in self.ranks.iter_mut().flatten() {
+            if r.status.map != version && r.status.armed == Some((version, step)) {
+                r.status.map = version;
+                r.status.armed = None;
+                r.status.prepared = None;
+            }
+        }
+    }
+
     /// Enters the holding phase for a pass that has not started.
     fn hold_next_pass(&mut self, now: Instant, version: u64) {
         let lead = self.lead_passes(now);
--- a/crates/core/tests/handover.rs
+++ b/crates/core/tests/handover.rs
@@ -414,3 +414,37 @@
     c.report(g.now, g.status(3));
     assert!(c.is_superseded());
 }
+
+/// An agent or two are down in a large group at most times. Their ranks get the orders through other
+/// agents, and the maps go on being switched.
+#[test]
+fn maps_are_switched_while_some_agents_are_silent() {
+    const SILENT: [usize; 3] = [0, 17, 40];
+    let mut g = Group::of_ranks(64, 13, 0.0);
+    let mut c = Handover::new(block(1));
+    let mut before = 0;
+    for tick in 0..3000_u32 {
+        g.advance(MS * 10);
+        if tick == 1000 {
+            before = g.switches;
+        }
+        for rank in 0..64 {
+            if tick >= 1000 && SILENT.contains(&rank) {
+                continue;
+            }
+            let now = g.now;
+            c.report(now, g.status(rank));
+            if c.phase() == HandoverPhase::Steady && c.map_in_use(now).is_some() {
+                c.start_switch(now, placement(64));
+            }
+            for (target, order) in c.orders(now, rank) {
+                let outcome = g.order(target, &order);
+                c.record_outcome(now, target, &order, outcome);
+            }
+        }
+        assert!(!c.has_lost_ranks(g.now), "given up for {} silent agents", SILENT.len());
+    }
+    // A switch takes 0.4 s for its copies, and twice a relayed order's interval.
+    let switches = (g.switches - before) / 64;
+    assert!(switches >= 15, "{switches} switches in 20 s with silent agents");
+}
