Agents of a service without experts are told to wait, not sent around

Cause, found on reading the change: an agent whose service the policy does not describe (removed, or not applied yet) was redirected by the leader, refused by the assigned instance and redirected again, about every 40 ms, and each redirect used up a block of map versions. Ruled out: engines without groups, whose agents do not report. Conclusion: no round of redirects costs anything while a policy changes its services.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -55,6 +55,8 @@
 /// Time without a message of its replica after which an instance coordinates no more groups. Replicas
 /// answer the leader's heartbeats several times as often.
 const PEER_RESPONSE_TIME: Duration = Duration::from_millis(800);
+/// Long-poll time of an agent whose service the policy does not describe as one with experts.
+const NO_ENGINE_WAIT: Duration = Duration::from_millis(225);
 /// Minimum time between two records of the number of gateways.
 const GATEWAYS_RECORD_PERIOD: Duration = Duration::from_secs(1);
 /// Code of the reply to a report on a group that another instance coordinates.
@@ -212,12 +214,17 @@
             return self.refuse_report();
         };
         if !self.coordinator().coordinates(now, view.term, &report) {
+            let policy = self.policy.read().unwrap_or_else(PoisonError::into_inner).clone();
+            let Some(engine) = policy.as_deref().and_then(|p| p.expert_engine(&report.service))
+            else {
+                sleep(NO_ENGINE_WAIT).await;
+                return RankOrders::default();
+            };
             let block = match self.version_block(&view, &report) {
                 Ok(block) => block,
                 Err(reply) => return reply,
             };
-            let policy = self.policy.read().unwrap_or_else(PoisonError::into_inner).clone();
-            self.coordinator().adopt(block, policy.as_deref(), &report);
+            self.coordinator().adopt(block, engine, &report);
         }
         if let Some(load) = &report.load {
             self.soft_state().record_rank_load(now, load);
--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -21,7 +21,6 @@
 use crocustally_core::experts::SelectionCounts;
 use crocustally_core::experts::VersionBlock;
 use crocustally_core::traffic::EngineSpec;
-use crocustally_core::traffic::TrafficPolicy;
 use crocustally_wire as wire;
 use event_listener::Event;
 use event_listener::EventListener;
@@ -102,19 +101,14 @@
         self.groups.contains_key(&group_key(report))
     }
 
-    /// Starts to coordinate the group of a report with the versions of `block`.
-    ///
-    /// Does nothing if the policy describes no engine with experts for the service.
+    /// Starts to coordinate the group of a report, of ranks like `engine`, with the versions of
+    /// `block`.
     pub(crate) fn adopt(
         &mut self,
         block: VersionBlock,
-        policy: Option<&TrafficPolicy>,
+        engine: &EngineSpec,
         report: &wire::RankReport,
     ) {
-        let spec = policy.and_then(|p| p.services().iter().find(|s| s.name == report.service));
-        let Some(engine) = spec.and_then(|s| s.engine.as_ref()).filter(|e| e.layer_sets > 0) else {
-            return;
-        };
         let key = group_key(report);
         log::info!(
             service = key.0.as_str(), group = key.1.as_str(), term = block.term,
--- a/crates/core/src/traffic/policy.rs
+++ b/crates/core/src/traffic/policy.rs
@@ -59,6 +59,12 @@
 }
 
 impl TrafficPolicy {
+    /// Performance data of a service's engines, if they have experts.
+    pub fn expert_engine(&self, service: &str) -> Option<&EngineSpec> {
+        let service = self.services().iter().find(|s| s.name == service)?;
+        service.engine.as_ref().filter(|e| e.layer_sets > 0)
+    }
+
     /// Validates a policy and builds its indexes.
     ///
     /// Every target of a route must refer to one of `services`; the decoder ensures this, and it is
