--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -82,20 +82,21 @@
 
 #[test]
 fn planning_the_target_size_takes_at_most_50_ms() {
-    // Measured in release builds only: the limit applies to the released program.
-    if cfg!(debug_assertions) {
-        return;
-    }
+    // The limit applies to the released program; a debug build may take five times as long.
+    let limit = Duration::from_millis(if cfg!(debug_assertions) { 250 } else { 50 });
     let (layers, ranks, experts, slots) = (60, 256, 256, 2);
     let estimate = estimate_from_zipf_counts(layers, experts, 1);
     let planner = Planner { cfg: PlannerSettings { slots, ..PlannerSettings::default() } };
     let map = initial_map(layers, ranks, experts, slots);
     let speed = vec![1.0; ranks];
-    let started = Instant::now();
-    let plan = planner.plan(&map, &estimate, &speed);
-    let elapsed = started.elapsed();
-    assert!(plan.is_some());
-    assert!(elapsed <= Duration::from_millis(50), "{elapsed:?}");
+    // The shortest of several runs is the planner's own time.
+    let measure = || {
+        let started = Instant::now();
+        assert!(planner.plan(&map, &estimate, &speed).is_some());
+        started.elapsed()
+    };
+    let elapsed = (0..5).map(|_| measure()).min().unwrap_or_default();
+    assert!(elapsed <= limit, "{elapsed:?} of {limit:?}");
 }
 
 #[test]
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -152,12 +152,12 @@
 }
 
 #[test]
-fn retry_budget_prevents_overload_when_half_the_endpoints_refuse() {
+fn retry_budget_prevents_overload_when_endpoints_refuse_half_of_the_requests() {
     let start = Instant::now();
     let mut now = start;
     let mut router = router_with(now, 12, 8);
     let mut rng = ChaCha8Rng::seed_from_u64(3);
-    let (mut arrived, mut accepted_count, mut sequence) = (0, 0, 1);
+    let (mut arrived, mut accepted_count, mut retries, mut sequence) = (0, 0, 0, 1);
     let mut running: Vec<(Instant, EndpointKey)> = Vec::new();
     while now < start + Duration::from_secs(20) {
         now += MS * 5;
@@ -176,8 +176,9 @@
                     ..request("a", now + 1000 * MS)
                 };
                 let RouteDecision::Send(key) = router.route(now, &req) else { break };
-                // Odd endpoints refuse everything although they report no load.
-                if key.0 % 2 == 1 {
+                retries += i32::from(!excluded.is_empty());
+                // Any endpoint may refuse although it reports no load, so none can be avoided.
+                if rng.random_bool(0.5) {
                     let code = Code::EndpointFull;
                     router.complete(
                         now,
@@ -203,9 +204,12 @@
             router.tick(now);
         }
     }
+    // The bucket is full at first, and gets a tenth of a token for each request and one each second.
+    let tokens = 20.0 + 0.1 * f64::from(arrived) + 20.0;
+    assert!(f64::from(retries) <= tokens, "{retries} retries, {tokens} tokens, {arrived} arrived");
     assert!(
-        f64::from(accepted_count) < 1.2 * f64::from(arrived),
-        "{accepted_count} sent to accepting endpoints, {arrived} arrived"
+        accepted_count > arrived * 2 / 5,
+        "{accepted_count} of {arrived} accepted, half of the sends are"
     );
 }
 
