Gateway: log why the connection of a request broke

An access log says only 'Broken 1066ms' of a send whose connection failed.

A line for each broken connection now names the request, the endpoint, the error of the connection and for how long it had been idle.

--- a/crates/agent/src/engine_run.rs
+++ b/crates/agent/src/engine_run.rs
@@ -113,7 +113,7 @@
                 health::probe(&self.agent).await;
                 return Outcome::NotRun(Code::EngineUnreachable);
             }
-            Err(HttpError::Broken(_)) => return Outcome::Failed(Code::EngineFailed),
+            Err(HttpError::Broken { .. }) => return Outcome::Failed(Code::EngineFailed),
         };
         let status = response.status().as_u16();
         let model = self.agent.cfg.kind == ServiceKind::Model;
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,5 +1,7 @@
 //! Sending one request to an endpoint.
 
+use std::error::Error as _;
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -85,7 +87,8 @@
             return SendOutcome::NotExecuted(RequestOutcome::Unreachable);
         }
         Some(Err(HttpError::NotSent)) => return SendOutcome::NotExecuted(RequestOutcome::Unused),
-        Some(Err(HttpError::Broken(_))) => {
+        Some(Err(HttpError::Broken { cause, idle })) => {
+            log_broken_connection(ex, slot, &cause, idle);
             return SendOutcome::MaybeExecuted(RequestOutcome::Broken);
         }
         Some(Ok(response)) => response,
@@ -106,6 +109,25 @@
     SendOutcome::Response(Box::new(EndpointResponse { head, meta, body, client, conn }))
 }
 
+/// Logs why the connection of a request broke: the same outcome may have been caused by the endpoint,
+/// the network or the kernel's time-outs.
+fn log_broken_connection(
+    ex: &Exchange,
+    slot: &Slot,
+    cause: &hyper::Error,
+    idle: Option<Duration>,
+) {
+    let io_error = cause.source().and_then(|e| e.downcast_ref::<io::Error>());
+    let kind = io_error.map(|e| format!("{:?}", e.kind()));
+    log::warn!(
+        id = ex.meta.id.as_str(),
+        endpoint = slot.endpoint.as_str(),
+        idle_ms = idle.map(|d| d.as_millis() as u64),
+        io_error = kind.as_deref();
+        "connection to endpoint broke: {cause}"
+    );
+}
+
 /// Reads a refusal to its end, so that the connection can be reused.
 async fn consume_refusal(mut response: EndpointResponse) -> SendOutcome {
     let outcome = if response.meta.misdirected {
--- a/crates/net/src/http_client.rs
+++ b/crates/net/src/http_client.rs
@@ -57,7 +57,12 @@
     /// The connection closed before anything was sent; the request was not executed.
     NotSent,
     /// The connection broke after the request was sent; it may have been executed.
-    Broken(hyper::Error),
+    Broken {
+        /// Error of the connection.
+        cause: hyper::Error,
+        /// How long the connection had been idle before the request; `None` if it was new.
+        idle: Option<Duration>,
+    },
 }
 
 /// The connection of a response whose body may still be unread; dropping it closes the connection.
@@ -72,6 +77,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     conn: HttpConnection,
+    since: Instant,
     expires_at: Instant,
 }
 
@@ -111,13 +117,16 @@
     ) -> Result<(Response<Incoming>, HttpConnection), HttpError> {
         let mut req = req;
         if !new_connection {
-            while let Some(mut conn) = self.take_idle() {
+            while let Some((mut conn, idle)) = self.take_idle() {
                 match conn.tx.try_send_request(req).await {
                     Ok(response) => return Ok((response, conn)),
                     Err(mut e) => match e.take_message() {
                         // The connection was closed before any byte of the request was written.
                         Some(unsent) => req = unsent,
-                        None => return Err(HttpError::Broken(e.into_error())),
+                        None => {
+                            let cause = e.into_error();
+                            return Err(HttpError::Broken { cause, idle: Some(idle) });
+                        }
                     },
                 }
             }
@@ -127,7 +136,7 @@
             Ok(response) => Ok((response, conn)),
             Err(mut e) => match e.take_message() {
                 Some(_) => Err(HttpError::NotSent),
-                None => Err(HttpError::Broken(e.into_error())),
+                None => Err(HttpError::Broken { cause: e.into_error(), idle: None }),
             },
         }
     }
@@ -148,19 +157,22 @@
         if conn.tx.is_closed() {
             return;
         }
-        let expires_at = Instant::now() + time.min(self.cfg.idle_timeout);
+        let since = Instant::now();
+        let expires_at = since + time.min(self.cfg.idle_timeout);
         self.idle
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
-            .push(IdleConnection { conn, expires_at });
+            .push(IdleConnection { conn, since, expires_at });
     }
 
-    fn take_idle(&self) -> Option<HttpConnection> {
+    /// Takes an idle connection, with the time for which it was idle.
+    fn take_idle(&self) -> Option<(HttpConnection, Duration)> {
         let now = Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|c| c.expires_at > now && !c.conn.tx.is_closed());
         let ready = idle.iter().rposition(|c| c.conn.tx.is_ready())?;
-        Some(idle.remove(ready).conn)
+        let taken = idle.remove(ready);
+        Some((taken.conn, now.saturating_duration_since(taken.since)))
     }
 
     async fn connect(&self) -> Result<HttpConnection, HttpError> {
