--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -111,12 +111,7 @@
 
 /// Logs why the connection of a request broke: the same outcome may have been caused by the endpoint,
 /// the network or the kernel's time-outs.
-fn log_broken_connection(
-    ex: &Exchange,
-    slot: &Slot,
-    cause: &hyper::Error,
-    idle: Option<Duration>,
-) {
+fn log_broken_connection(ex: &Exchange, slot: &Slot, cause: &hyper::Error, idle: Option<Duration>) {
     let io_error = cause.source().and_then(|e| e.downcast_ref::<io::Error>());
     let kind = io_error.map(|e| format!("{:?}", e.kind()));
     log::warn!(
--- a/crates/net/src/http_client.rs
+++ b/crates/net/src/http_client.rs
@@ -159,10 +159,11 @@
         }
         let since = Instant::now();
         let expires_at = since + time.min(self.cfg.idle_timeout);
-        self.idle
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .push(IdleConnection { conn, since, expires_at });
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).push(IdleConnection {
+            conn,
+            since,
+            expires_at,
+        });
     }
 
     /// Takes an idle connection, with the time for which it was idle.
--- a/crates/net/tests/http_client.rs
+++ b/crates/net/tests/http_client.rs
@@ -1,22 +1,57 @@
-//! Requests that are cancelled before they are delivered.
+//! Requests that are given up before they are delivered.
 #![allow(clippy::unwrap_used)]
 
 use std::io::ErrorKind;
 use std::io::Read;
+use std::io::Write;
 use std::net::TcpListener;
+use std::net::TcpStream;
+use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use crocustally_net::HttpClient;
 use crocustally_net::HttpClientSettings;
 use crocustally_net::Runtime;
 use crocustally_net::timeout;
+use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
 
 /// More than the socket buffers of both ends hold.
 const BODY_BYTES: usize = 32 * 1024 * 1024;
 
+fn large_request() -> Request<Full<Bytes>> {
+    let req = Request::builder().method("POST").uri("/").header("Host", "h");
+    req.body(Full::new(Bytes::from(vec![7; BODY_BYTES]))).unwrap()
+}
+
+/// Reads one request without a body and answers it; the connection stays open.
+fn answer_request(stream: &mut TcpStream) {
+    let mut head = Vec::new();
+    let mut buf = [0; 1024];
+    while !head.ends_with(b"\r\n\r\n") {
+        let n = stream.read(&mut buf).unwrap();
+        head.extend_from_slice(&buf[..n]);
+    }
+    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
+}
+
+/// The error that is pending on a connection, waiting for it up to `time`.
+fn pending_error(stream: &TcpStream, time: Duration) -> Option<ErrorKind> {
+    let deadline = Instant::now() + time;
+    loop {
+        if let Some(e) = stream.take_error().unwrap() {
+            return Some(e.kind());
+        }
+        if Instant::now() > deadline {
+            return None;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
 /// Guards against the delivery of a cancelled request from the socket buffers after a network
 /// partition heals: the request may have been retried elsewhere by then.
 #[test]
@@ -25,14 +60,43 @@
     let rt = Runtime::start(1);
     let cfg = HttpClientSettings { reset_on_close: true, ..HttpClientSettings::default() };
     let client = HttpClient::with_settings(&rt, listener.local_addr().unwrap(), cfg);
-    let req = Request::builder().method("POST").uri("/").header("Host", "h");
-    let req = req.body(Full::new(Bytes::from(vec![7; BODY_BYTES]))).unwrap();
     // The server does not read, as in a network partition.
-    let response = async_io::block_on(timeout(Duration::from_millis(200), client.send(req, true)));
+    let response =
+        async_io::block_on(timeout(Duration::from_millis(200), client.send(large_request(), true)));
     assert!(response.is_none());
-    std::thread::sleep(Duration::from_millis(200));
+    thread::sleep(Duration::from_millis(200));
     let (mut stream, _) = listener.accept().unwrap();
     let mut buf = Vec::new();
     let result = stream.read_to_end(&mut buf);
     assert_eq!(result.unwrap_err().kind(), ErrorKind::ConnectionReset);
 }
+
+/// Guards against a request that the kernel gives up by a time-out of its own: its connection can no
+/// longer be reset, so bytes that a partition holds up are delivered once it heals, long after the
+/// caller has its answer and, in the reported case, into an evacuated failure domain.
+#[test]
+fn request_on_a_reused_connection_is_withdrawn_by_a_reset() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let rt = Runtime::start(1);
+    let ack_timeout = Duration::from_secs(1);
+    let cfg =
+        HttpClientSettings { reset_on_close: true, ack_timeout, ..HttpClientSettings::default() };
+    let client = HttpClient::with_settings(&rt, listener.local_addr().unwrap(), cfg);
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        answer_request(&mut stream);
+        stream
+    });
+    async_io::block_on(async {
+        let req = Request::builder().uri("/").header("Host", "h").body(Full::default()).unwrap();
+        let (response, conn) = client.send(req, false).await.unwrap();
+        response.into_body().collect().await.unwrap();
+        client.put_idle(conn);
+    });
+    let stream = server.join().unwrap();
+    // The server reads no more, so nothing beyond the socket buffers is accepted.
+    let send = client.send(large_request(), false);
+    let response = async_io::block_on(timeout(3 * ack_timeout, send));
+    assert!(response.is_none(), "the connection was given up by the kernel: {response:?}");
+    assert_eq!(pending_error(&stream, ack_timeout), Some(ErrorKind::ConnectionReset));
+}
