Gateway: only the gateway itself gives up a connection to an endpoint

Cause: connections to endpoints had an acknowledgement time-out of the kernel (3 s, with keep-alive probes). A request written to a reused connection just after its path was cut is given up by the kernel when that time is over, counted from before the request. A connection that the gateway closes is reset, which withdraws what is on its way; one that the kernel has given up can no longer be reset, and bytes held up by the cut arrive when it heals. Ruled out: a gateway that did not know of the evacuation (its log has it 2.7 s before the arrival), a task that outlives its request (the broken connections name the kernel's 'TimedOut').

Now the kernel has no such time-out on these connections. Requests have the gateway's own (silence of a stream, deadline), which all reset. Idle connections, whose path may have gone silent unnoticed, are kept for 3 s instead of 30, and all to an endpoint are closed once one request there meets silence or no connection can be opened.

request_on_a_reused_connection_is_withdrawn_by_a_reset failed before ('Connection timed out' after 1 s, no reset) and passes now; its settings name the policy instead of two options, with the kernel's 3 s of the default instead of 1 s.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use crocustally_core::fleet::Registry;
 use crocustally_core::traffic::ServicePolicy;
 use crocustally_core::traffic::TrafficPolicy;
+use crocustally_net::Abandonment;
 use crocustally_net::Channel;
 use crocustally_net::Clock;
 use crocustally_net::HttpClient;
@@ -43,6 +44,11 @@
 const GATEWAY_EXPIRY: Duration = Duration::from_secs(150);
 /// Idle timeout of callers' connections; callers reuse one for up to 12 s.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(25);
+/// Timeout for opening a connection to an endpoint: many times the delay between failure domains.
+const ENDPOINT_CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest time for which an idle connection to an endpoint is kept. The path may have gone silent
+/// since its last response.
+const ENDPOINT_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time for which a stopping gateway keeps accepting connections: the platform redirects callers
 /// after two missed health checks, one second apart.
 const SHUTDOWN_DRAIN_DELAY: Duration = Duration::from_millis(2500);
@@ -282,10 +288,9 @@
         let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
         let create = || {
             let cfg = HttpClientSettings {
-                connect_timeout: Duration::from_millis(400),
-                idle_timeout: Duration::from_secs(30),
-                ack_timeout: Duration::from_secs(3),
-                reset_on_close: true,
+                connect_timeout: ENDPOINT_CONNECT_TIMEOUT,
+                idle_timeout: ENDPOINT_IDLE_TIMEOUT,
+                abandonment: Abandonment::OwnerReset,
             };
             Arc::new(HttpClient::with_settings(&self.rt, address, cfg))
         };
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -182,7 +182,10 @@
         let silence = ex.now().saturating_duration_since(source.last_received);
         let time_limit = SILENCE_TIMEOUT.saturating_sub(silence).min(ex.remaining());
         match timeout(time_limit, source.response.body.frame()).await {
-            None => return StreamItem::Interrupted(RequestOutcome::Silent),
+            None => {
+                source.response.discard_idle_connections();
+                return StreamItem::Interrupted(RequestOutcome::Silent);
+            }
             Some(Some(Ok(frame))) => {
                 if let Ok(data) = frame.into_data() {
                     source.buf.push(&data);
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -37,6 +37,11 @@
 }
 
 impl EndpointResponse {
+    /// Closes the idle connections to the endpoint, which has gone silent during this response.
+    pub(crate) fn discard_idle_connections(&self) {
+        self.client.discard_idle();
+    }
+
     /// Returns the connection to the client's pool; the body must have been read to its end.
     pub(crate) fn reuse_connection(self) {
         if self.meta.closes_connection {
@@ -82,8 +87,12 @@
     // executed. Requests that must not be repeated get a new connection.
     let new_connection = !ex.route.kind.is_retryable();
     let (response, conn) = match timeout(time_limit, client.send(req, new_connection)).await {
-        None => return SendOutcome::MaybeExecuted(RequestOutcome::Silent),
+        None => {
+            client.discard_idle();
+            return SendOutcome::MaybeExecuted(RequestOutcome::Silent);
+        }
         Some(Err(HttpError::Unreachable)) => {
+            client.discard_idle();
             return SendOutcome::NotExecuted(RequestOutcome::Unreachable);
         }
         Some(Err(HttpError::NotSent)) => return SendOutcome::NotExecuted(RequestOutcome::Unused),
--- a/crates/net/src/http_client.rs
+++ b/crates/net/src/http_client.rs
@@ -31,11 +31,19 @@
     pub connect_timeout: Duration,
     /// Maximum time that an idle connection is kept in the pool.
     pub idle_timeout: Duration,
-    /// Connections on which the server acknowledges no data for this long are closed.
-    pub ack_timeout: Duration,
-    /// Whether closing a connection resets it and discards undelivered data, so that a cancelled
-    /// request is not delivered after a network partition heals.
-    pub reset_on_close: bool,
+    /// How a connection is given up that the server no longer acknowledges.
+    pub abandonment: Abandonment,
+}
+
+/// How a connection is given up that the server no longer acknowledges.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Abandonment {
+    /// The kernel closes it after this time, during a request or between two.
+    KernelTimeout(Duration),
+    /// Only its owner closes it, with a reset that discards undelivered data, so that a request
+    /// that was given up is not delivered after a network partition heals. A connection that the
+    /// kernel has given up can no longer be reset.
+    OwnerReset,
 }
 
 impl Default for HttpClientSettings {
@@ -43,8 +51,7 @@
         Self {
             connect_timeout: Duration::from_millis(1000),
             idle_timeout: Duration::from_secs(60),
-            ack_timeout: Duration::from_secs(3),
-            reset_on_close: false,
+            abandonment: Abandonment::KernelTimeout(Duration::from_secs(3)),
         }
     }
 }
@@ -166,6 +173,13 @@
         });
     }
 
+    /// Closes all idle connections. Once one connection has stopped responding, the others likely
+    /// have too.
+    pub fn discard_idle(&self) {
+        // Closed after the lock is released.
+        let _idle = std::mem::take(&mut *self.idle.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+
     /// Takes an idle connection, with the time for which it was idle.
     fn take_idle(&self) -> Option<(HttpConnection, Duration)> {
         let now = Instant::now();
@@ -180,9 +194,9 @@
         let stream = timeout(self.cfg.connect_timeout, TcpStream::connect(self.address)).await;
         let stream = stream.and_then(Result::ok).ok_or(HttpError::Unreachable)?;
         let _ = stream.set_nodelay(true);
-        set_ack_timeout(&stream, self.cfg.ack_timeout);
-        if self.cfg.reset_on_close {
-            set_reset_on_close(&stream);
+        match self.cfg.abandonment {
+            Abandonment::KernelTimeout(time) => set_ack_timeout(&stream, time),
+            Abandonment::OwnerReset => set_reset_on_close(&stream),
         }
         let io = FuturesIo::new(YieldingIo::new(stream));
         let (mut tx, conn) = http1::handshake(io).await.map_err(|_| HttpError::Unreachable)?;
--- a/crates/net/tests/http_client.rs
+++ b/crates/net/tests/http_client.rs
@@ -11,6 +11,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use crocustally_net::Abandonment;
 use crocustally_net::HttpClient;
 use crocustally_net::HttpClientSettings;
 use crocustally_net::Runtime;
@@ -22,6 +23,15 @@
 /// More than the socket buffers of both ends hold.
 const BODY_BYTES: usize = 32 * 1024 * 1024;
 
+/// Longer than the kernel's acknowledgement timeout of a client with default settings.
+const SEND_TIMEOUT: Duration = Duration::from_millis(4500);
+/// Time for a reset to arrive on the loopback interface.
+const RESET_TIMEOUT: Duration = Duration::from_secs(1);
+
+fn owner_reset() -> HttpClientSettings {
+    HttpClientSettings { abandonment: Abandonment::OwnerReset, ..HttpClientSettings::default() }
+}
+
 fn large_request() -> Request<Full<Bytes>> {
     let req = Request::builder().method("POST").uri("/").header("Host", "h");
     req.body(Full::new(Bytes::from(vec![7; BODY_BYTES]))).unwrap()
@@ -58,7 +68,7 @@
 fn cancelled_request_is_not_delivered() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let rt = Runtime::start(1);
-    let cfg = HttpClientSettings { reset_on_close: true, ..HttpClientSettings::default() };
+    let cfg = owner_reset();
     let client = HttpClient::with_settings(&rt, listener.local_addr().unwrap(), cfg);
     // The server does not read, as in a network partition.
     let response =
@@ -78,10 +88,7 @@
 fn request_on_a_reused_connection_is_withdrawn_by_a_reset() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let rt = Runtime::start(1);
-    let ack_timeout = Duration::from_secs(1);
-    let cfg =
-        HttpClientSettings { reset_on_close: true, ack_timeout, ..HttpClientSettings::default() };
-    let client = HttpClient::with_settings(&rt, listener.local_addr().unwrap(), cfg);
+    let client = HttpClient::with_settings(&rt, listener.local_addr().unwrap(), owner_reset());
     let server = thread::spawn(move || {
         let (mut stream, _) = listener.accept().unwrap();
         answer_request(&mut stream);
@@ -96,7 +103,7 @@
     let stream = server.join().unwrap();
     // The server reads no more, so nothing beyond the socket buffers is accepted.
     let send = client.send(large_request(), false);
-    let response = async_io::block_on(timeout(3 * ack_timeout, send));
+    let response = async_io::block_on(timeout(SEND_TIMEOUT, send));
     assert!(response.is_none(), "the connection was given up by the kernel: {response:?}");
-    assert_eq!(pending_error(&stream, ack_timeout), Some(ErrorKind::ConnectionReset));
+    assert_eq!(pending_error(&stream, RESET_TIMEOUT), Some(ErrorKind::ConnectionReset));
 }
