Control: an evacuation order that was overtaken has no effect

An instance forwards an order to the leader; without a quorum it answers 503 after 2.5 s and the operator sends the order again elsewhere, but the first proposal may still be committed: the leader has it in its log, or its bytes are held up by a cut. Policies are safe (the highest version wins), so are tickets (numbered), claims (attempts in sequence) and the number of gateways (only grows).

Orders now carry the revision of the evacuations that they were given on, and one on an older revision has no effect. An instance whose state lags proposes once more on the newest revision, only while the operator still waits for it (1 s). Logs of older versions hold orders without a revision, which take effect in turn.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -23,6 +23,9 @@
 /// Time for a command to be committed, after which the caller is told to try another instance.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(2500);
 
+/// Shortest time after which an operator without a response turns to another instance.
+const OPERATOR_PATIENCE: Duration = Duration::from_secs(1);
+
 /// Handles one request.
 pub(crate) async fn handle_request(
     control: Arc<Control>,
@@ -120,12 +123,27 @@
         }
     }
 
+    /// Proposes an evacuation order on the current revision. If the local state lags and the order
+    /// is overtaken for that reason, it is proposed once more on the newest revision, but not at a
+    /// time at which the operator may already have ordered the opposite elsewhere.
     async fn evacuate(&self, domain: String, active: bool) -> ControlResponse {
-        let command = Kind::Evacuation(Evacuation { domain: domain.clone(), active });
-        let committed = self.log.propose(command, COMMIT_TIMEOUT).await;
-        let acknowledged = committed.is_ok();
+        let arrived = self.clock.now();
+        let mut revision = self.state_machine().evacuation_revision();
+        let acknowledged = loop {
+            let order = Evacuation { domain: domain.clone(), active, revision: Some(revision) };
+            let outcome = self.log.propose(Kind::Evacuation(order), COMMIT_TIMEOUT).await;
+            let Ok(Some(OutcomeKind::Evacuation(outcome))) = outcome.map(|o| o.kind) else {
+                break false;
+            };
+            let waited = self.clock.now().saturating_duration_since(arrived);
+            if outcome.in_force || waited >= OPERATOR_PATIENCE {
+                break outcome.in_force;
+            }
+            revision = outcome.revision;
+        };
         log::info!(
-            domain = domain.as_str(), active = active, acknowledged = acknowledged;
+            domain = domain.as_str(), active = active, revision = revision,
+            acknowledged = acknowledged;
             "evacuation"
         );
         if acknowledged { ControlResponse::Acknowledged } else { ControlResponse::Unavailable }
--- a/crates/core/src/control/state_machine.rs
+++ b/crates/core/src/control/state_machine.rs
@@ -8,6 +8,7 @@
 use crocustally_wire::Command;
 use crocustally_wire::DeathOutcome;
 use crocustally_wire::Evacuation;
+use crocustally_wire::EvacuationOutcome;
 use crocustally_wire::MachineState;
 use crocustally_wire::Outcome;
 use crocustally_wire::PolicyDocument;
@@ -38,6 +39,8 @@
     /// The most gateways that have ever followed the control instances at a time.
     gateways: u32,
     evacuated: BTreeSet<String>,
+    /// Log index of the last evacuation order that took effect.
+    evacuation_revision: u64,
     /// Index of the last command applied on this replica.
     last_applied: u64,
 }
@@ -72,10 +75,7 @@
                 }
                 OutcomeKind::Done(true)
             }
-            Some(Kind::Evacuation(e)) => {
-                self.set_evacuation(e);
-                OutcomeKind::Done(true)
-            }
+            Some(Kind::Evacuation(e)) => OutcomeKind::Evacuation(self.apply_evacuation(index, e)),
             Some(Kind::Gateways(count)) => {
                 self.gateways = self.gateways.max(count);
                 OutcomeKind::Done(true)
@@ -116,17 +116,30 @@
         &self.evacuated
     }
 
+    /// Revision of the evacuations: it grows with each order that takes effect.
+    pub fn evacuation_revision(&self) -> u64 {
+        self.evacuation_revision
+    }
+
     /// Index of the last command applied on this replica.
     pub fn last_applied(&self) -> u64 {
         self.last_applied
     }
 
-    fn set_evacuation(&mut self, e: Evacuation) {
-        if e.active {
-            self.evacuated.insert(e.domain);
-        } else {
-            self.evacuated.remove(&e.domain);
+    /// Applies an evacuation order unless another one has overtaken it. An order that its proposer
+    /// has given up may still be committed later, when the opposite has been acknowledged.
+    fn apply_evacuation(&mut self, index: u64, e: Evacuation) -> EvacuationOutcome {
+        let overtaken = e.revision.is_some_and(|r| r < self.evacuation_revision);
+        if !overtaken {
+            self.evacuation_revision = index;
+            if e.active {
+                self.evacuated.insert(e.domain.clone());
+            } else {
+                self.evacuated.remove(&e.domain);
+            }
         }
+        let in_force = self.evacuated.contains(&e.domain) == e.active;
+        EvacuationOutcome { in_force, revision: self.evacuation_revision }
     }
 
     /// Encodes the state for a snapshot.
@@ -143,6 +156,7 @@
             policy: Some(self.policy.clone()),
             gateways: self.gateways,
             evacuated: self.evacuated.iter().cloned().collect(),
+            evacuation_revision: self.evacuation_revision,
             applied: self.last_applied,
         };
         state.encode_to_vec().into()
@@ -161,6 +175,7 @@
             policy: state.policy.unwrap_or_default(),
             gateways: state.gateways,
             evacuated: state.evacuated.into_iter().collect(),
+            evacuation_revision: state.evacuation_revision,
             last_applied: state.applied,
         })
     }
