Gateway: a request that may run again leaves a silent endpoint in time for another one

A unary request waited at a silent endpoint until its own deadline and ended with 504, though its route allowed a second endpoint.

While another endpoint is available and the retry budget allows it, an attempt that may be repeated gets half of the time that is left, at least the latency objective. Requests that must not run twice, and those with no other endpoint, wait as before. serve::idempotent_request_leaves_a_silent_runner_in_time_for_another failed before (504) and passes now.

--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -416,6 +416,11 @@
         ((self.retries.count(now) + 1) as f64) <= allowed
     }
 
+    /// Whether a request can be sent again to an endpoint that is not among `tried`.
+    pub fn may_retry_elsewhere(&mut self, now: Instant, tried: &[MemberKey]) -> bool {
+        self.any_available(now, tried) && self.may_retry(now)
+    }
+
     fn assign(&mut self, now: Instant, key: MemberKey, prompt_tokens: u32, is_retry: bool) {
         self.in_flight += 1;
         self.outage_since = None;
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -1,7 +1,10 @@
 //! Unary responses: one request, one complete body.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use crocustally_core::Code;
+use crocustally_core::dispatch::MemberKey;
 use crocustally_core::dispatch::Refusal;
 use crocustally_core::dispatch::RequestOutcome;
 use crocustally_net::ResponseBody;
@@ -15,7 +18,9 @@
 use crate::upstream::SendOutcome;
 
 /// `Retry-After` of a request that endpoints have refused.
-const RETRY_AFTER_REFUSALS: std::time::Duration = std::time::Duration::from_millis(400);
+const RETRY_AFTER_REFUSALS: Duration = Duration::from_millis(400);
+/// Share of the time left that one attempt may take while another endpoint may be tried after it.
+const ATTEMPT_TIME_SHARE: f64 = 0.5;
 
 /// Sends the request to one endpoint after another, as often as the route allows.
 pub(crate) async fn serve(mut ex: Exchange) -> Response<ResponseBody> {
@@ -29,8 +34,8 @@
             Err(refusal) => return final_response(&mut ex, failure, refusal),
         };
         sent_before = true;
-        let time_left = ex.remaining();
-        match upstream::send(&ex, &slot, time_left, None).await {
+        let time_limit = attempt_time(&ex, slot.key);
+        match upstream::send(&ex, &slot, time_limit, None).await {
             SendOutcome::NotExecuted(outcome) => {
                 ex.record_attempt(slot, outcome);
                 if !ex.can_send() || ex.remaining().is_zero() {
@@ -75,6 +80,22 @@
     }
 }
 
+/// Time that the endpoint `key` gets to respond. An endpoint that may never respond must leave time
+/// for another one.
+fn attempt_time(ex: &Exchange, key: MemberKey) -> Duration {
+    let time_left = ex.remaining();
+    if !ex.route.kind.is_retryable() || ex.executions + 1 >= ex.route.attempts {
+        return time_left;
+    }
+    let mut tried = ex.tried.clone();
+    tried.push(key);
+    let now = ex.now();
+    if !ex.slot_pool.with_pool(|pool| pool.may_retry_elsewhere(now, &tried)) {
+        return time_left;
+    }
+    time_left.mul_f64(ATTEMPT_TIME_SHARE).max(ex.route.objective).min(time_left)
+}
+
 /// Response to a request without a success: an endpoint's own error response, if any, else the
 /// gateway's.
 fn final_response(
