Coordinators ask agents for experts that they do not know

An agent lists the experts of its rank once for each map. Listed to an instance that leads but has not applied the policy yet, they were dropped, though the reply said that all was well; without the experts of every rank nothing is planned until the map changes, and only a plan changes it. The same holds for an instance that gives a group up and takes it again. Ruled out: a held pass or a switch under way (phase 'Steady' at 44.14), a lost quorum (one election, at once).

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -217,8 +217,9 @@
             let policy = self.policy.read().unwrap_or_else(PoisonError::into_inner).clone();
             let Some(engine) = policy.as_deref().and_then(|p| p.expert_engine(&report.service))
             else {
+                // The policy may just not be known yet.
                 sleep(NO_ENGINE_WAIT).await;
-                return RankOrders::default();
+                return RankOrders { experts_unknown: true, ..RankOrders::default() };
             };
             let block = match self.version_block(&view, &report) {
                 Ok(block) => block,
@@ -230,6 +231,8 @@
             self.soft_state().record_rank_load(now, load);
         }
         self.coordinator().record_report(now, &report);
+        let experts_unknown = !self.coordinator().knows_experts(&report);
+        let reply = |orders| RankOrders { orders, experts_unknown, ..RankOrders::default() };
         let mut deadline = None;
         loop {
             let polled = self.coordinator().poll_orders(self.clock.now(), &report);
@@ -238,7 +241,7 @@
                 PollReply::Orders(_) if !self.log.view().as_ref().is_some_and(in_term) => {
                     return self.refuse_report();
                 }
-                PollReply::Orders(orders) => return RankOrders { orders, ..RankOrders::default() },
+                PollReply::Orders(orders) => return reply(orders),
                 PollReply::Wait { changed, time } => (changed, time),
             };
             // A change may bring the deadline forward but never postpone it.
@@ -246,7 +249,7 @@
             let at = deadline.map_or(now + time, |at: Instant| at.min(now + time));
             deadline = Some(at);
             if timeout(at.saturating_duration_since(now), changed).await.is_none() {
-                return RankOrders::default();
+                return reply(Vec::new());
             }
         }
     }
--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -126,6 +126,13 @@
         }
     }
 
+    /// Whether the experts of the rank in a report are known, here or from a report before.
+    pub(crate) fn knows_experts(&self, report: &wire::RankReport) -> bool {
+        let map = report.load.as_ref().map_or(0, |load| load.map);
+        let group = self.groups.get(&group_key(report));
+        group.is_some_and(|g| g.ranks.knows_experts(report.rank as usize, map))
+    }
+
     /// Returns the orders for the agent that sent this report, or how long to wait for some.
     pub(crate) fn poll_orders(&mut self, now: Instant, report: &wire::RankReport) -> PollReply {
         let ranks: usize = self.groups.values().map(|g| g.engines.len()).sum();
--- a/crates/core/src/experts/group.rs
+++ b/crates/core/src/experts/group.rs
@@ -104,6 +104,14 @@
         }
     }
 
+    /// Whether the experts of a rank that uses map `map` are known. Without those of all ranks nothing
+    /// is planned.
+    pub fn knows_experts(&self, rank: usize, map: u64) -> bool {
+        let reported = self.rank_experts.get(rank).and_then(Option::as_ref);
+        reported.is_some_and(|(version, _)| *version == map)
+            || self.handover.placement(map).is_some()
+    }
+
     /// Whether the popularity of experts is shifting; ranks should then report once per pass.
     pub fn shifting(&self) -> bool {
         self.demand.as_ref().is_some_and(Demand::shifting)
--- a/crates/rank/src/agent.rs
+++ b/crates/rank/src/agent.rs
@@ -150,7 +150,11 @@
                 sleep(RETRY_DELAY).await;
                 continue;
             };
-            let RankOrders { code, leader, orders, term, block } = orders.into_inner();
+            let RankOrders { code, leader, orders, term, block, experts_unknown } =
+                orders.into_inner();
+            if experts_unknown {
+                reported_map = None;
+            }
             if code != 0 {
                 reported_map = None;
                 let leader: Option<SocketAddr> = leader.parse().ok();
