Gateway: log the prompt parts of requests that break off, and checks that find the endpoint up

The logs could not tell which part of a prompt the requests at a crash had in common, nor whether an end was looked for and not found. One line for each check names the parts, whether the answer had begun, and the result. No decision reads the parts yet.

--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod config;
+mod prompt_part;
 mod state_machine;
 mod suspects;
 mod ticket;
@@ -11,6 +12,7 @@
 pub use claims::STORED_ANSWER_BYTES_MAX;
 pub use config::Config;
 pub use config::Decision;
+pub use prompt_part::PromptPart;
 pub use state_machine::MalformedState;
 pub use state_machine::StateMachine;
 pub use suspects::DEATHS_BEFORE_QUARANTINE;
--- /dev/null
+++ b/crates/core/src/control/prompt_part.rs
@@ -0,0 +1,24 @@
+//! [`PromptPart`]: identity of a part of prompts that several requests may share.
+
+use std::fmt;
+
+use crate::Digest;
+
+/// A part of prompts, such as a system prompt or a document, that several requests may share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PromptPart(pub u64);
+
+impl PromptPart {
+    /// The part with this identifier: its number if it is hexadecimal and fits, else a hash.
+    pub fn from_id(id: &[u8]) -> Self {
+        let number =
+            std::str::from_utf8(id).ok().and_then(|text| u64::from_str_radix(text, 16).ok());
+        Self(number.unwrap_or_else(|| Digest::of(&[id]).to_u64()))
+    }
+}
+
+impl fmt::Display for PromptPart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crocustally_core::Code;
+use crocustally_core::control::PromptPart;
 use crocustally_core::traffic::PolicyError;
 use crocustally_core::traffic::TrafficPolicy;
 use crocustally_net::ResponseBody;
@@ -10,6 +11,7 @@
 use hyper::Response;
 use hyper::http::request;
 use hyper::http::response;
+use smallvec::SmallVec;
 
 /// Metadata of a caller's request, decoded from its head.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -28,8 +30,14 @@
     pub max_response_tokens: u32,
     /// Last event of the stream that the caller has received.
     pub last_event_id: Option<u64>,
+    /// Parts of the prompt that other requests may share, at most [`SHARED_PARTS_MAX`]; empty if
+    /// unknown.
+    pub shared_parts: SmallVec<[PromptPart; 4]>,
 }
 
+/// Number of shared parts of a prompt that are told apart; requests have two or three.
+pub const SHARED_PARTS_MAX: usize = 16;
+
 /// Error: the head of a request cannot be decoded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MalformedRequest;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -140,7 +140,7 @@
         let took = self.now().saturating_duration_since(slot.sent_at);
         self.access_log.tries.push((slot.endpoint.clone(), took, outcome));
         if outcome == RequestOutcome::Broken {
-            suspects::check_crash(&self.gateway, self.digest, &slot);
+            suspects::check_crash(self, &slot);
         }
         self.tried.push(slot.key);
         slot.finish(outcome);
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -1,6 +1,5 @@
 //! Detection of requests that crash endpoints.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use crocustally_core::Digest;
@@ -9,6 +8,7 @@
 use crocustally_wire::SuspectNotice;
 
 use crate::Gateway;
+use crate::exchange::Exchange;
 use crate::slots::Slot;
 
 /// Delay before checking for a crash: the listener of a crashing endpoint may still be closing.
@@ -17,11 +17,22 @@
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// Checks in the background whether the endpoint crashed that interrupted a request.
-pub(crate) fn check_crash(gateway: &Arc<Gateway>, digest: Digest, slot: &Slot) {
-    let (gateway, endpoint, address) = (gateway.clone(), slot.endpoint.clone(), slot.address);
+pub(crate) fn check_crash(ex: &Exchange, slot: &Slot) {
+    let (gateway, endpoint, address) = (ex.gateway.clone(), slot.endpoint.clone(), slot.address);
+    let (digest, id, answering) = (ex.digest, ex.meta.id.clone(), slot.response_started());
+    let parts: Vec<String> = ex.meta.shared_parts.iter().map(ToString::to_string).collect();
     gateway.rt.clone().spawn(async move {
         crocustally_net::sleep(CRASH_CHECK_DELAY).await;
-        if gateway.endpoint_client(address).refuses_connections().await {
+        let crashed = gateway.endpoint_client(address).refuses_connections().await;
+        log::info!(
+            id = id.as_str(),
+            endpoint = endpoint.as_str(),
+            parts = parts.join(",").as_str(),
+            answering = answering,
+            crashed = crashed;
+            "endpoint checked after a request broke off"
+        );
+        if crashed {
             record_crash(&gateway, digest, &endpoint);
             notify_controls(&gateway, digest, &endpoint).await;
         }
