--- /dev/null
+++ b/crates/daemons/tests/crashing_parts.rs
@@ -0,0 +1,276 @@
+//! A part of prompts that crashes each endpoint that begins to answer it.
+//!
+//! Gateways and control instances run as processes; stand-in endpoints end when they begin to answer
+//! a prompt with the part, and come back. Sound requests share all other parts, and the caller.
+//!
+//! To run other seeds and sizes: `CRASH_SEEDS=1..21 CRASH_GATEWAYS=16 cargo test --release -p
+//! crocustally_daemons --test crashing_parts -- --nocapture`. Without the variables it runs
+//! [`CI_SEEDS`] with 4 gateways.
+#![allow(clippy::unwrap_used, dead_code)]
+
+#[path = "../../../platform/tests/common/calls.rs"]
+mod calls;
+#[path = "soak/deployment.rs"]
+mod deployment;
+#[path = "crashing_parts/endpoint.rs"]
+mod endpoint;
+#[path = "soak/operator.rs"]
+mod operator;
+#[path = "../../../platform/tests/common/runner.rs"]
+mod runner;
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use crocustally_net::HttpClient;
+use crocustally_net::Runtime;
+use crocustally_net::sleep;
+use crocustally_net::timeout;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde_json::Value;
+use serde_json::json;
+
+use calls::CallerResponse;
+use calls::caller_request;
+use deployment::CONTROLS;
+use deployment::DOMAINS;
+use deployment::Deployment;
+use endpoint::Arrivals;
+use endpoint::End;
+use endpoint::EndpointSettings;
+use operator::Operator;
+
+/// Number of endpoints.
+const ENDPOINTS: usize = 12;
+/// Endpoints that have ended under the part after which it must be known.
+const ENDS_KNOWN: usize = 5;
+/// Time after the fifth end within which all gateways must know the part; the platform's
+/// `contact-ms`.
+const KNOWN_WITHIN: Duration = Duration::from_secs(3);
+/// Requests with the part that may reach endpoints when they were sent later than that.
+const LATE_ARRIVALS_MAX: usize = 3;
+/// Share of the sound requests' rate of starts without the part that has to remain with it.
+const SOUND_SHARE_MIN: f64 = 0.5;
+/// Time without the part, for the rate of starts to compare with.
+const CALM: Duration = Duration::from_secs(4);
+/// Time for which starts are counted once the part must be known for twice [`KNOWN_WITHIN`].
+const COUNTED: Duration = Duration::from_secs(4);
+/// Longest time for the fifth end, or for no more ends to come.
+const ENDS_WITHIN: Duration = Duration::from_secs(16);
+/// Sound requests a second, over all gateways.
+const SOUND_RATE: f64 = 25.0;
+/// Requests a second with the part, over all gateways.
+const CRASHING_RATE: f64 = 2.0;
+/// Time that callers wait.
+const DEADLINE_MS: u64 = 4000;
+/// Time within which a started deployment must accept its first configuration.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Seeds that CI runs, one for each look of an end.
+const CI_SEEDS: std::ops::Range<u64> = 0..4;
+const PART: &str = "bad0";
+
+fn config() -> Value {
+    json!({
+        "version": 1,
+        "routes": [{"name": "stream", "host": "h", "path-prefix": "/stream/", "kind": "stream",
+            "timeout-ms": DEADLINE_MS, "target-latency-ms": 500, "priority": 1, "attempts": 2,
+            "resumable": true, "service": "s"}],
+        "services": [{"name": "s", "max-conns": 900, "cold-per-s": 0.0}],
+        "limits": {"max-header-bytes": 16384, "max-body-bytes": 4096,
+            "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+        "tenants": [{"name": "t", "api-keys": ["k"], "priority": 1}],
+    })
+}
+
+/// A caller's request and whether its stream began.
+#[derive(Clone, Debug)]
+struct Sent {
+    at: Instant,
+    crashing: bool,
+    began: bool,
+    status: u16,
+}
+
+/// Callers that send sound and crashing requests to gateways drawn at random.
+struct Traffic {
+    rt: Runtime,
+    gateways: Vec<SocketAddr>,
+    sent: Arc<Mutex<HashMap<String, Sent>>>,
+    rng: ChaCha8Rng,
+    /// Position of the crashing part among the shared ones.
+    position: usize,
+    next_id: usize,
+}
+
+impl Traffic {
+    fn send(&mut self, crashing: bool) {
+        self.next_id += 1;
+        let id = format!("{}{}", if crashing { "c" } else { "s" }, self.next_id);
+        let document = format!("d0c{}", self.rng.random_range(0..6));
+        let mut parts = vec!["f1".to_owned(), document, format!("e{}", self.next_id % 3)];
+        if crashing {
+            parts.insert(self.position, PART.to_owned());
+        }
+        parts.push(format!("0{}", self.next_id));
+        let prefix = parts.iter().map(|p| format!("{p}:100")).collect::<Vec<_>>().join(",");
+        let to = self.gateways[self.rng.random_range(0..self.gateways.len())];
+        let (rt, sent) = (self.rt.clone(), self.sent.clone());
+        let at = Instant::now();
+        self.rt.spawn(async move {
+            let client = HttpClient::new(&rt, to);
+            let mut req =
+                caller_request(&format!("/stream/{id}"), &id, DEADLINE_MS, Some("k"), &id);
+            req.headers_mut().insert("prompt-prefix", prefix.parse().unwrap());
+            let call = async {
+                let (response, _conn) = client.send(req, true).await.ok()?;
+                Some(CallerResponse::read(response).await)
+            };
+            let record = Sent { at, crashing, began: false, status: 0 };
+            sent.lock().unwrap().insert(id.clone(), record);
+            let response = timeout(Duration::from_millis(DEADLINE_MS + 500), call).await.flatten();
+            if let Some(response) = response
+                && let Some(record) = sent.lock().unwrap().get_mut(&id)
+            {
+                record.status = response.status;
+                record.began = response.status == 200 && !response.body.is_empty();
+            }
+        });
+    }
+
+    /// Sends for `time`, at random intervals.
+    async fn run(&mut self, time: Duration, crashing: bool) {
+        let until = Instant::now() + time;
+        let rate = SOUND_RATE + if crashing { CRASHING_RATE } else { 0.0 };
+        while Instant::now() < until {
+            let crash = crashing && self.rng.random_bool(CRASHING_RATE / rate);
+            self.send(crash);
+            let pause = -self.rng.random::<f64>().max(1e-6).ln() / rate;
+            sleep(Duration::from_secs_f64(pause)).await;
+        }
+    }
+
+    /// Share of the sound requests sent between two times whose streams began.
+    fn began(&self, from: Instant, to: Instant) -> f64 {
+        let sent = self.sent.lock().unwrap();
+        let sound: Vec<_> =
+            sent.values().filter(|s| !s.crashing && s.at >= from && s.at < to).collect();
+        sound.iter().filter(|s| s.began).count() as f64 / sound.len().max(1) as f64
+    }
+
+    fn statuses(&self, crashing: bool) -> Vec<(u16, usize)> {
+        let mut counts = std::collections::BTreeMap::new();
+        for s in self.sent.lock().unwrap().values().filter(|s| s.crashing == crashing) {
+            *counts.entry(s.status).or_insert(0) += 1;
+        }
+        counts.into_iter().collect()
+    }
+}
+
+/// When each endpoint ended under the part, oldest first.
+fn ends(arrivals: &Arrivals) -> Vec<Instant> {
+    let mut seen = HashSet::new();
+    let arrivals = arrivals.lock().unwrap();
+    arrivals.iter().filter(|a| a.crashed && seen.insert(a.endpoint.clone())).map(|a| a.at).collect()
+}
+
+/// Runs one seed; returns a line with both figures, as an error if one misses its bound.
+async fn run_seed(rt: &Runtime, seed: u64, gateways: usize) -> Result<String, String> {
+    let folder = std::env::temp_dir().join(format!("crashing-{}-{seed}", std::process::id()));
+    let net = [(std::process::id() % 200 + 20) as u8, (seed % 250) as u8];
+    let mut d = Deployment::start(rt, net, 0, gateways, folder).await;
+    let controls: Vec<_> = (0..CONTROLS).map(|i| d.control(i)).collect();
+    let all_ends = [End::Reset, End::MidEvent, End::Silent, End::Replaced];
+    let end = all_ends[(seed % 4) as usize];
+    let arrivals = Arrivals::default();
+    let mut op = Operator::default();
+    let started_at = Instant::now();
+    while !op.put_config(rt, controls[0], &config()).await {
+        assert!(started_at.elapsed() < READY_TIMEOUT, "seed {seed}: no configuration accepted");
+        sleep(Duration::from_millis(100)).await;
+    }
+    let mut endpoints = Vec::new();
+    for index in 0..ENDPOINTS {
+        let cfg = EndpointSettings {
+            index,
+            domain: format!("d{}", index % DOMAINS),
+            end,
+            crashing_parts: vec![PART.to_owned()],
+            controls: controls.clone(),
+        };
+        endpoints.push(endpoint::start(rt, cfg, arrivals.clone()));
+    }
+    // Gateways and endpoints find each other.
+    sleep(Duration::from_secs(3)).await;
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let position = rng.random_range(0..=2);
+    let mut traffic = Traffic {
+        rt: rt.clone(),
+        gateways: (0..gateways).map(|i| d.gateway(i)).collect(),
+        sent: Arc::default(),
+        rng,
+        position,
+        next_id: 0,
+    };
+    let calm_from = Instant::now();
+    traffic.run(CALM, false).await;
+    let calm_to = Instant::now();
+    while ends(&arrivals).len() < ENDS_KNOWN && calm_to.elapsed() < ENDS_WITHIN {
+        traffic.run(Duration::from_millis(500), true).await;
+    }
+    let at_ends = ends(&arrivals);
+    let known_from = at_ends.get(ENDS_KNOWN - 1).or(at_ends.last()).copied().unwrap_or(calm_to);
+    let counted_from = (known_from + 2 * KNOWN_WITHIN).max(Instant::now());
+    traffic.run(counted_from - Instant::now() + COUNTED, true).await;
+    let counted_to = Instant::now();
+    sleep(Duration::from_millis(DEADLINE_MS)).await;
+    let sent = traffic.sent.lock().unwrap().clone();
+    let late = arrivals.lock().unwrap().clone().into_iter().filter(|a| {
+        a.crashed && sent.get(&a.request).is_some_and(|s| s.at > known_from + KNOWN_WITHIN)
+    });
+    let late = if at_ends.len() < ENDS_KNOWN { 0 } else { late.count() };
+    let (calm, trouble) =
+        (traffic.began(calm_from, calm_to), traffic.began(counted_from, counted_to));
+    let share = trouble / calm;
+    let line = format!(
+        "seed {seed}, {gateways} gateways, {end:?}, part at {position}: {} ended, {late} requests \
+         with the part arrived late; of sound requests {trouble:.2} began, {calm:.2} without it; \
+         status of sound ones {:?}, of the others {:?}",
+        ends(&arrivals).len(),
+        traffic.statuses(false),
+        traffic.statuses(true),
+    );
+    if late <= LATE_ARRIVALS_MAX && share >= SOUND_SHARE_MIN {
+        return Ok(line);
+    }
+    Err(format!("{line}; logs in {}", d.keep_folder().display()))
+}
+
+/// Guards against requests with a crashing part of their prompts that end one endpoint after another
+/// (incident BUDGET), and against sound requests that are refused because of it.
+#[test]
+fn crashing_part_is_refused_and_sound_requests_begin() {
+    let seeds = std::env::var("CRASH_SEEDS").map_or(CI_SEEDS, |text| match text.split_once("..") {
+        Some((from, to)) => from.parse().unwrap()..to.parse().unwrap(),
+        None => text.parse().unwrap()..text.parse::<u64>().unwrap() + 1,
+    });
+    let gateways = std::env::var("CRASH_GATEWAYS").map_or(4, |text| text.parse().unwrap());
+    let rt = Runtime::start(2);
+    let mut failed = Vec::new();
+    for seed in seeds {
+        match async_io::block_on(run_seed(&rt, seed, gateways)) {
+            Ok(line) => println!("{line}"),
+            Err(line) => {
+                println!("{line}");
+                failed.push(seed);
+            }
+        }
+    }
+    assert!(failed.is_empty(), "seeds that failed: {failed:?}");
+}
--- a/crates/daemons/tests/soak.rs
+++ b/crates/daemons/tests/soak.rs
@@ -41,12 +41,13 @@
 use deployment::CONTROLS;
 use deployment::DOMAINS;
 use deployment::Deployment;
-use deployment::GATEWAYS;
 use faults::Faults;
 use load::Load;
 use operator::Operator;
 use operator::call;
 
+/// Number of gateways.
+const GATEWAYS: usize = 3;
 /// Number of fake runners.
 const RUNNERS: usize = 6;
 /// Time within which a started deployment must accept its first configuration.
@@ -88,7 +89,7 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
     let net = [(std::process::id() % 200 + 20) as u8, (seed % 250) as u8];
-    let mut d = Deployment::start(rt, net, RUNNERS, folder).await;
+    let mut d = Deployment::start(rt, net, RUNNERS, GATEWAYS, folder).await;
     let controls: Vec<_> = (0..CONTROLS).map(|i| d.control(i)).collect();
     let stop = Arc::new(AtomicBool::new(false));
     for i in 0..RUNNERS {
--- a/crates/daemons/tests/soak/deployment.rs
+++ b/crates/daemons/tests/soak/deployment.rs
@@ -21,8 +21,6 @@
 
 /// Number of control instances; their quorum tolerates the loss of one.
 pub const CONTROLS: usize = 3;
-/// Number of gateways.
-pub const GATEWAYS: usize = 3;
 /// Number of failure domains.
 pub const DOMAINS: usize = 3;
 const CONTROL_PORT: u16 = 8100;
@@ -64,9 +62,15 @@
 }
 
 impl Deployment {
-    /// Starts `runners` fake runners and all processes; `net` has the second and third byte of the
+    /// Starts `runners` fake runners, the control instances and `gateways` gateways; `net` has the second and third byte of the
     /// loopback addresses.
-    pub async fn start(rt: &Runtime, net: [u8; 2], runners: usize, folder: PathBuf) -> Self {
+    pub async fn start(
+        rt: &Runtime,
+        net: [u8; 2],
+        runners: usize,
+        gateways: usize,
+        folder: PathBuf,
+    ) -> Self {
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).unwrap();
         let mut d = Self {
@@ -76,7 +80,7 @@
             folder,
             keep_data: false,
         };
-        for i in 0..CONTROLS + GATEWAYS {
+        for i in 0..CONTROLS + gateways {
             let kind = if i < CONTROLS { Kind::Control } else { Kind::Gateway };
             let ip = IpAddr::from(Ipv4Addr::new(127, net[0], net[1], i as u8 + 1));
             let name = format!("{kind:?}-{i}").to_lowercase();
--- a/crates/daemons/tests/soak/load.rs
+++ b/crates/daemons/tests/soak/load.rs
@@ -14,9 +14,9 @@
 use crocustally_net::sleep;
 use crocustally_net::timeout;
 
+use crate::GATEWAYS;
 use crate::calls::CallerResponse;
 use crate::calls::caller_request;
-use crate::deployment::GATEWAYS;
 
 /// Number of callers per gateway.
 const CALLERS_PER_GATEWAY: usize = 4;
