Gateway: a send that reached no endpoint is no retry

Cause: every second send drew on the retry budget, also where no connection could be opened and nothing arrived; the platform counts arrivals. Now only a send that reached an endpoint makes the next one a retry; 421 and 503 of an endpoint are arrivals. Sends without a connection are bounded by eight for each request.

--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -27,6 +27,7 @@
 pub use member::RequestOutcome;
 pub use pool::DispatchDecision;
 pub use pool::DispatchRequest;
+pub use pool::EarlierSends;
 pub use pool::Pool;
 pub use pool::PoolSettings;
 pub use pool::QueueOutcome;
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -83,8 +83,19 @@
     pub outage_deadline: Instant,
     /// Members to which the request has been sent already.
     pub tried: SmallVec<[MemberKey; 2]>,
-    /// Whether the request has been sent before, so that it counts against the retry budget.
-    pub is_retry: bool,
+    /// What became of earlier sends of the request.
+    pub earlier: EarlierSends,
+}
+
+/// What became of earlier sends of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EarlierSends {
+    /// There are none.
+    None,
+    /// None has reached an endpoint, so the next one is no retry.
+    Unopened,
+    /// One has reached an endpoint: the next one draws on the retry budget.
+    Arrived,
 }
 
 /// Refusal of a request.
@@ -303,16 +314,15 @@
 
     /// Assigns a request to a member, queues it or refuses it.
     pub fn dispatch(&mut self, now: Instant, req: &DispatchRequest) -> DispatchDecision {
-        if req.is_retry {
-            if !self.may_retry(now) {
-                return self.refuse(Code::RetryBudgetSpent, RETRY_AFTER_MIN);
-            }
-        } else {
-            self.first_attempts.add(now);
+        match req.earlier {
+            EarlierSends::None => self.first_attempts.add(now),
+            EarlierSends::Unopened => {}
+            EarlierSends::Arrived if self.may_retry(now) => {}
+            EarlierSends::Arrived => return self.refuse(Code::RetryBudgetSpent, RETRY_AFTER_MIN),
         }
         let none_ahead = self.queue.ahead(req.priority) == 0;
         if none_ahead && let Some(key) = self.choose_member(now, req.prompt_tokens, &req.tried) {
-            self.assign(now, key, req.prompt_tokens, req.is_retry);
+            self.assign(now, key, req.prompt_tokens, req.earlier);
             return DispatchDecision::Send(key);
         }
         if !self.any_available(now, &req.tried) {
@@ -340,6 +350,7 @@
             prompt_tokens: req.prompt_tokens,
             retry_after: RETRY_AFTER_MIN,
             tried: req.tried.clone(),
+            earlier: req.earlier,
         })
     }
 
@@ -404,7 +415,7 @@
                 queue.pop_first_placeable(|w| self.choose_member(now, w.prompt_tokens, &w.tried));
             self.queue = queue;
             let Some((w, key)) = next else { return outcomes };
-            self.assign(now, key, w.prompt_tokens, !w.tried.is_empty());
+            self.assign(now, key, w.prompt_tokens, w.earlier);
             outcomes.push((w.ticket, Ok(key)));
         }
     }
@@ -421,10 +432,10 @@
         self.any_available(now, tried) && self.may_retry(now)
     }
 
-    fn assign(&mut self, now: Instant, key: MemberKey, prompt_tokens: u32, is_retry: bool) {
+    fn assign(&mut self, now: Instant, key: MemberKey, prompt_tokens: u32, earlier: EarlierSends) {
         self.in_flight += 1;
         self.outage_since = None;
-        if is_retry {
+        if earlier == EarlierSends::Arrived {
             self.retries.add(now);
         }
         if let Some(m) = self.members.get_mut(&key) {
--- a/crates/core/src/dispatch/queue.rs
+++ b/crates/core/src/dispatch/queue.rs
@@ -5,6 +5,7 @@
 
 use smallvec::SmallVec;
 
+use super::EarlierSends;
 use super::MemberKey;
 
 /// Identifies a queued request of one pool.
@@ -22,6 +23,7 @@
     pub(super) prompt_tokens: u32,
     pub(super) retry_after: Duration,
     pub(super) tried: SmallVec<[MemberKey; 2]>,
+    pub(super) earlier: EarlierSends,
 }
 
 /// Queued requests, ordered by priority, then by arrival.
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -11,6 +11,7 @@
 use crocustally_core::dispatch::CrashTracker;
 use crocustally_core::dispatch::DispatchDecision;
 use crocustally_core::dispatch::DispatchRequest;
+use crocustally_core::dispatch::EarlierSends;
 use crocustally_core::dispatch::GatewaySet;
 use crocustally_core::dispatch::LimiterSettings;
 use crocustally_core::dispatch::MemberKey;
@@ -65,7 +66,7 @@
         queue_deadline: now + 150 * MS,
         outage_deadline: now,
         tried: Default::default(),
-        is_retry: false,
+        earlier: EarlierSends::None,
     }
 }
 
@@ -138,7 +139,7 @@
         let now = start + step * 10 * MS;
         let first = expect_sent(pool.dispatch(now, &request(now)));
         pool.complete(now, first, RequestOutcome::Refused, MS);
-        let mut retry = DispatchRequest { is_retry: true, ..request(now) };
+        let mut retry = DispatchRequest { earlier: EarlierSends::Arrived, ..request(now) };
         retry.tried.push(first);
         match pool.dispatch(now, &retry) {
             DispatchDecision::Send(key) => {
@@ -598,3 +599,24 @@
         assert!(not_sent < WAITING_MAX, "{gateways} gateways: {not_sent:.4} had to wait");
     }
 }
+
+/// Guards against sound requests that are refused for want of retry budget because sends to ended
+/// endpoints were taken for retries (found beside the incident BUDGET).
+#[test]
+fn send_that_reached_no_endpoint_draws_on_no_retry_budget() {
+    let now = Instant::now();
+    let cfg = PoolSettings { retry_ratio: 0.0, retry_slack: 0.0, ..PoolSettings::default() };
+    let mut pool = pool(now, cfg, 3);
+    let first = expect_sent(pool.dispatch(now, &request(now)));
+    pool.complete(now, first, RequestOutcome::Unreachable, Duration::ZERO);
+    let mut again = request(now);
+    again.tried.push(first);
+    again.earlier = EarlierSends::Unopened;
+    expect_sent(pool.dispatch(now, &again));
+    again.earlier = EarlierSends::Arrived;
+    let refused = pool.dispatch(now, &again);
+    assert!(
+        matches!(refused, DispatchDecision::Refuse(r) if r.code == Code::RetryBudgetSpent),
+        "{refused:?}"
+    );
+}
--- a/crates/core/tests/shared_limits.rs
+++ b/crates/core/tests/shared_limits.rs
@@ -8,6 +8,7 @@
 
 use crocustally_core::dispatch::DispatchDecision;
 use crocustally_core::dispatch::DispatchRequest;
+use crocustally_core::dispatch::EarlierSends;
 use crocustally_core::dispatch::GatewaySet;
 use crocustally_core::dispatch::Pool;
 use crocustally_core::dispatch::PoolSettings;
@@ -69,7 +70,7 @@
                 queue_deadline: now,
                 outage_deadline: now,
                 tried: Default::default(),
-                is_retry: false,
+                earlier: EarlierSends::None,
             };
             if let DispatchDecision::Send(key) = p.dispatch(now, &req) {
                 let at = p.member(key).unwrap().address();
--- a/crates/daemons/tests/crashing_parts.rs
+++ b/crates/daemons/tests/crashing_parts.rs
@@ -27,6 +27,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_executor::Task;
 use crocustally_net::HttpClient;
 use crocustally_net::Runtime;
 use crocustally_net::sleep;
@@ -68,10 +69,14 @@
 const SOUND_RATE: f64 = 25.0;
 /// Requests a second with the part, over all gateways.
 const CRASHING_RATE: f64 = 2.0;
+/// Time in which gateways and endpoints find each other.
+const DISCOVERY: Duration = Duration::from_secs(3);
 /// Time that callers wait.
 const DEADLINE_MS: u64 = 4000;
 /// Time within which a started deployment must accept its first configuration.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Interval between ends without a request at fault.
+const ENDS_EVERY: Duration = Duration::from_millis(800);
 /// Seeds that CI runs, one for each look of an end.
 const CI_SEEDS: std::ops::Range<u64> = 0..4;
 const PART: &str = "bad0";
@@ -96,6 +101,8 @@
     crashing: bool,
     began: bool,
     status: u16,
+    /// Body of a response other than 200.
+    error: String,
 }
 
 /// Callers that send sound and crashing requests to gateways drawn at random.
@@ -110,6 +117,12 @@
 }
 
 impl Traffic {
+    fn new(rt: &Runtime, gateways: Vec<SocketAddr>, seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let position = rng.random_range(0..=2);
+        Self { rt: rt.clone(), gateways, sent: Arc::default(), rng, position, next_id: 0 }
+    }
+
     fn send(&mut self, crashing: bool) {
         self.next_id += 1;
         let id = format!("{}{}", if crashing { "c" } else { "s" }, self.next_id);
@@ -132,7 +145,7 @@
                 let (response, _conn) = client.send(req, true).await.ok()?;
                 Some(CallerResponse::read(response).await)
             };
-            let record = Sent { at, crashing, began: false, status: 0 };
+            let record = Sent { at, crashing, began: false, status: 0, error: String::new() };
             sent.lock().unwrap().insert(id.clone(), record);
             let response = timeout(Duration::from_millis(DEADLINE_MS + 500), call).await.flatten();
             if let Some(response) = response
@@ -140,14 +153,20 @@
             {
                 record.status = response.status;
                 record.began = response.status == 200 && !response.body.is_empty();
+                if response.status != 200 {
+                    record.error = response.body;
+                }
             }
         });
     }
 
     /// Sends for `time`, at random intervals.
     async fn run(&mut self, time: Duration, crashing: bool) {
+        self.run_at(time, crashing, SOUND_RATE + if crashing { CRASHING_RATE } else { 0.0 }).await;
+    }
+
+    async fn run_at(&mut self, time: Duration, crashing: bool, rate: f64) {
         let until = Instant::now() + time;
-        let rate = SOUND_RATE + if crashing { CRASHING_RATE } else { 0.0 };
         while Instant::now() < until {
             let crash = crashing && self.rng.random_bool(CRASHING_RATE / rate);
             self.send(crash);
@@ -180,14 +199,25 @@
     arrivals.iter().filter(|a| a.crashed && seen.insert(a.endpoint.clone())).map(|a| a.at).collect()
 }
 
-/// Runs one seed; returns a line with both figures, as an error if one misses its bound.
-async fn run_seed(rt: &Runtime, seed: u64, gateways: usize) -> Result<String, String> {
+/// A deployment that has accepted its configuration, and its endpoints.
+struct Started {
+    d: Deployment,
+    arrivals: Arrivals,
+    endpoints: Vec<Task<()>>,
+}
+
+/// Starts the processes and endpoints; `ends_after` has the times at which an endpoint ends besides.
+async fn start(
+    rt: &Runtime,
+    seed: u64,
+    gateways: usize,
+    end: End,
+    ends_after: impl Fn(usize) -> Vec<Duration>,
+) -> Started {
     let folder = std::env::temp_dir().join(format!("crashing-{}-{seed}", std::process::id()));
     let net = [(std::process::id() % 200 + 20) as u8, (seed % 250) as u8];
-    let mut d = Deployment::start(rt, net, 0, gateways, folder).await;
+    let d = Deployment::start(rt, net, 0, gateways, folder).await;
     let controls: Vec<_> = (0..CONTROLS).map(|i| d.control(i)).collect();
-    let all_ends = [End::Reset, End::MidEvent, End::Silent, End::Replaced];
-    let end = all_ends[(seed % 4) as usize];
     let arrivals = Arrivals::default();
     let mut op = Operator::default();
     let started_at = Instant::now();
@@ -195,29 +225,31 @@
         assert!(started_at.elapsed() < READY_TIMEOUT, "seed {seed}: no configuration accepted");
         sleep(Duration::from_millis(100)).await;
     }
-    let mut endpoints = Vec::new();
-    for index in 0..ENDPOINTS {
+    let endpoints = (0..ENDPOINTS).map(|index| {
         let cfg = EndpointSettings {
             index,
             domain: format!("d{}", index % DOMAINS),
             end,
             crashing_parts: vec![PART.to_owned()],
             controls: controls.clone(),
+            ends_after: ends_after(index),
         };
-        endpoints.push(endpoint::start(rt, cfg, arrivals.clone()));
-    }
+        endpoint::start(rt, cfg, arrivals.clone())
+    });
+    let endpoints = endpoints.collect();
     // Gateways and endpoints find each other.
-    sleep(Duration::from_secs(3)).await;
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let position = rng.random_range(0..=2);
-    let mut traffic = Traffic {
-        rt: rt.clone(),
-        gateways: (0..gateways).map(|i| d.gateway(i)).collect(),
-        sent: Arc::default(),
-        rng,
-        position,
-        next_id: 0,
-    };
+    sleep(DISCOVERY).await;
+    Started { d, arrivals, endpoints }
+}
+
+/// Runs one seed; returns a line with both figures, as an error if one misses its bound.
+async fn run_seed(rt: &Runtime, seed: u64, gateways: usize) -> Result<String, String> {
+    let all_ends = [End::Reset, End::MidEvent, End::Silent, End::Replaced];
+    let end = all_ends[(seed % 4) as usize];
+    let Started { mut d, arrivals, endpoints: _endpoints } =
+        start(rt, seed, gateways, end, |_| Vec::new()).await;
+    let mut traffic = Traffic::new(rt, (0..gateways).map(|i| d.gateway(i)).collect(), seed);
+    let position = traffic.position;
     let calm_from = Instant::now();
     traffic.run(CALM, false).await;
     let calm_to = Instant::now();
@@ -274,3 +306,37 @@
     }
     assert!(failed.is_empty(), "seeds that failed: {failed:?}");
 }
+
+/// Guards against sound requests that are refused for want of retry budget (2004) while endpoints are
+/// idle, because sends to ended endpoints are taken for retries (found beside the incident BUDGET).
+#[test]
+fn ended_endpoints_cost_no_retry_budget() {
+    let rt = Runtime::start(2);
+    let seed = 101;
+    // One of the endpoints ends every 0.8 s and is down for a while.
+    let ends_after = |index: usize| {
+        let round = ENDPOINTS as u32 * ENDS_EVERY;
+        (0..10).map(|n| DISCOVERY + n * round + index as u32 * ENDS_EVERY).collect()
+    };
+    async_io::block_on(async {
+        let Started { mut d, endpoints: _endpoints, .. } =
+            start(&rt, seed, 4, End::Reset, ends_after).await;
+        let gateways = (0..4).map(|i| d.gateway(i)).collect();
+        let mut traffic = Traffic::new(&rt, gateways, seed);
+        let from = Instant::now();
+        traffic.run_at(Duration::from_secs(15), false, 50.0).await;
+        sleep(Duration::from_millis(DEADLINE_MS)).await;
+        let began = traffic.began(from, Instant::now());
+        let sent = traffic.sent.lock().unwrap().clone();
+        let spent = sent.values().filter(|s| s.error.contains("2004")).count();
+        let line = format!(
+            "seed {seed}: {} sent, {began:.3} began, {spent} refused with 2004, status {:?}",
+            sent.len(),
+            traffic.statuses(false)
+        );
+        println!("{line}");
+        if spent > 0 {
+            panic!("{line}; logs in {}", d.keep_folder().display());
+        }
+    });
+}
--- a/crates/daemons/tests/crashing_parts/endpoint.rs
+++ b/crates/daemons/tests/crashing_parts/endpoint.rs
@@ -27,8 +27,10 @@
 
 /// Time for which an endpoint is down after its end.
 const DOWN_TIME: Duration = Duration::from_millis(1500);
+/// Lifetime of an endpoint that nothing ends: longer than any run.
+const LIFETIME_MAX: Duration = Duration::from_secs(3600);
 /// Requests that an endpoint runs at a time.
-const SLOTS: usize = 6;
+pub const SLOTS: usize = 10;
 /// Interval between heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 /// Time from the arrival of a request to its first event.
@@ -72,11 +74,14 @@
     /// Identifiers of the parts that crash it.
     pub crashing_parts: Vec<String>,
     pub controls: Vec<SocketAddr>,
+    /// Times at which it also ends without a request at fault, after its start.
+    pub ends_after: Vec<Duration>,
 }
 
 /// Runs an endpoint, one incarnation after the other, until the task is dropped.
 pub fn start(rt: &Runtime, cfg: EndpointSettings, arrivals: Arrivals) -> Task<()> {
     let rt2 = rt.clone();
+    let started_at = Instant::now();
     rt.spawn_task(async move {
         let mut address = SocketAddr::from(([127, 0, 0, 1], 0));
         for incarnation in 1.. {
@@ -88,7 +93,12 @@
                 }
             };
             address = listener.local_addr().unwrap();
-            run_incarnation(&rt2, &cfg, incarnation, listener, &arrivals).await;
+            let ends_at = cfg.ends_after.iter().map(|after| started_at + *after);
+            let lifetime = ends_at
+                .filter_map(|at| at.checked_duration_since(Instant::now()))
+                .min()
+                .unwrap_or(Duration::MAX);
+            run_incarnation(&rt2, &cfg, incarnation, listener, lifetime, &arrivals).await;
             if cfg.end != End::Replaced {
                 sleep(DOWN_TIME).await;
             }
@@ -102,6 +112,7 @@
     cfg: &EndpointSettings,
     incarnation: u64,
     listener: TcpListener,
+    lifetime: Duration,
     arrivals: &Arrivals,
 ) {
     let id = format!("i-{}-{incarnation}", cfg.index);
@@ -131,7 +142,7 @@
             }
         })
     };
-    let _ = crash_rx.recv().await;
+    let _ = timeout(lifetime.min(LIFETIME_MAX), crash_rx.recv()).await;
     drop(heartbeats);
     drop(accept);
     let tasks = std::mem::take(&mut *connections.lock().unwrap());
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -10,6 +10,7 @@
 use crocustally_core::Ran;
 use crocustally_core::control::PromptPart;
 use crocustally_core::dispatch::DispatchRequest;
+use crocustally_core::dispatch::EarlierSends;
 use crocustally_core::dispatch::MemberKey;
 use crocustally_core::dispatch::Refusal;
 use crocustally_core::dispatch::RequestOutcome;
@@ -29,6 +30,9 @@
 
 /// Refused sends allowed beyond a route's attempts before the request is rejected.
 const REFUSED_SENDS_MAX: usize = 2;
+/// Sends of a request that may fail because no connection could be opened. Such a send takes a
+/// millisecond, or the time-out for connections in front of an endpoint that is cut off.
+const UNOPENED_SENDS_MAX: usize = 8;
 /// Time from sending a request to its first event if forward passes take as long as allowed: the
 /// remainder of the current pass and one pass for the prefill.
 const FIRST_EVENT_LATENCY: Duration = Duration::from_millis(210);
@@ -59,6 +63,10 @@
     /// When the response is due at the caller.
     pub(crate) deadline: Instant,
     pub(crate) tried: SmallVec<[MemberKey; 2]>,
+    /// What became of the sends so far.
+    pub(crate) earlier: EarlierSends,
+    /// Number of sends that reached no endpoint.
+    pub(crate) unopened: usize,
     /// Number of sends that an endpoint may have executed.
     pub(crate) executions: u32,
     pub(crate) access_log: AccessLogEntry,
@@ -84,7 +92,8 @@
 
     /// Whether the request may be sent at all; also bounds the sends that endpoints refuse.
     pub(crate) fn can_send(&self) -> bool {
-        self.tried.len() < self.route.attempts as usize + REFUSED_SENDS_MAX
+        self.unopened < UNOPENED_SENDS_MAX
+            && self.tried.len() - self.unopened < self.route.attempts as usize + REFUSED_SENDS_MAX
     }
 
     /// Whether the caller has sent this request before and was refused or got an error.
@@ -121,15 +130,15 @@
         self.deadline.saturating_duration_since(self.arrived)
     }
 
-    /// Acquires a slot, waiting in the queue if needed. `sent_before` charges the retry budget.
-    pub(crate) async fn acquire_slot(&mut self, sent_before: bool) -> Result<Slot, Refusal> {
+    /// Acquires a slot, waiting in the queue if needed.
+    pub(crate) async fn acquire_slot(&mut self) -> Result<Slot, Refusal> {
         let req = DispatchRequest {
             priority: 2 * self.priority + u8::from(self.is_caller_retry()),
             prompt_tokens: self.meta.prompt_tokens,
             queue_deadline: self.queue_deadline().min(self.deadline),
             outage_deadline: self.outage_deadline(),
             tried: self.tried.clone(),
-            is_retry: sent_before,
+            earlier: self.earlier,
         };
         let wait_started = self.now();
         let slot = match self.check_blocked_parts() {
@@ -159,8 +168,22 @@
         }
     }
 
-    /// Records the outcome of an attempt and releases its slot.
+    /// Records an attempt that reached no endpoint and releases its slot.
+    pub(crate) fn record_unopened(&mut self, slot: Slot, outcome: RequestOutcome) {
+        self.unopened += 1;
+        if self.earlier == EarlierSends::None {
+            self.earlier = EarlierSends::Unopened;
+        }
+        self.end_attempt(slot, outcome);
+    }
+
+    /// Records the outcome of an attempt that reached an endpoint and releases its slot.
     pub(crate) fn record_attempt(&mut self, slot: Slot, outcome: RequestOutcome) {
+        self.earlier = EarlierSends::Arrived;
+        self.end_attempt(slot, outcome);
+    }
+
+    fn end_attempt(&mut self, slot: Slot, outcome: RequestOutcome) {
         let took = self.now().saturating_duration_since(slot.sent_at);
         self.access_log.tries.push((slot.endpoint.clone(), took, outcome));
         if outcome == RequestOutcome::Broken {
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use crocustally_core::Code;
 use crocustally_core::Digest;
+use crocustally_core::dispatch::EarlierSends;
 use crocustally_core::traffic::Route;
 use crocustally_core::traffic::TrafficPolicy;
 use crocustally_net::ResponseBody;
@@ -142,6 +143,8 @@
         route,
         arrived,
         tried: SmallVec::new(),
+        earlier: EarlierSends::None,
+        unopened: 0,
         executions: 0,
         _request_guard: request_guard,
     })
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -34,8 +34,9 @@
 const RESUME_PAUSE: Duration = Duration::from_millis(150);
 /// Total time for attempts to resume a stream; callers disconnect after about two seconds.
 const RESUME_TIME_MAX: Duration = Duration::from_millis(2200);
-/// `Retry-After` of a request that endpoints have refused.
-const RETRY_AFTER_REFUSALS: Duration = Duration::from_millis(600);
+/// Refusal of a request that endpoints have refused, or could not be reached at.
+const ALL_REFUSED: Refusal =
+    Refusal { code: Code::EndpointFull, retry_after: Duration::from_millis(600) };
 
 /// An open stream from an endpoint.
 struct UpstreamStream {
@@ -66,16 +67,12 @@
 /// Opens a stream at an endpoint and relays it; other endpoints take over where the route allows.
 pub(crate) async fn serve(mut ex: Exchange) -> Response<ResponseBody> {
     let last_event_id = ex.meta.last_event_id;
-    let mut sent_before = false;
     loop {
-        let mut source = match open(&mut ex, last_event_id, sent_before).await {
+        let mut source = match open(&mut ex, last_event_id).await {
             Ok(source) => source,
             Err(OpenError::Final(response)) => return *response,
             Err(OpenError::Refused(refusal)) => return ex.reject_or_fail(refusal),
-            Err(OpenError::Interrupted) if ex.can_rerun() && ex.can_send() => {
-                sent_before = true;
-                continue;
-            }
+            Err(OpenError::Interrupted) if ex.can_rerun() && ex.can_send() => continue,
             Err(OpenError::Interrupted) => return ex.fail(),
         };
         // The head is sent with the first event, so that another endpoint can serve until then.
@@ -85,7 +82,6 @@
                 if !ex.can_rerun() || !ex.can_send() {
                     return ex.fail();
                 }
-                sent_before = true;
             }
             first => return relay(ex, source, first),
         }
@@ -93,23 +89,21 @@
 }
 
 /// Opens a stream, trying one endpoint after another while they refuse.
-async fn open(
-    ex: &mut Exchange,
-    last_event_id: Option<u64>,
-    sent_before: bool,
-) -> Result<UpstreamStream, OpenError> {
-    let mut sent_before = sent_before;
+async fn open(ex: &mut Exchange, last_event_id: Option<u64>) -> Result<UpstreamStream, OpenError> {
     loop {
-        let slot = ex.acquire_slot(sent_before).await.map_err(OpenError::Refused)?;
-        sent_before = true;
+        let slot = ex.acquire_slot().await.map_err(OpenError::Refused)?;
         let time_limit = ex.remaining().min(SILENCE_TIMEOUT);
         match upstream::send(ex, &slot, time_limit, last_event_id).await {
+            SendOutcome::Unopened(outcome) => {
+                ex.record_unopened(slot, outcome);
+                if !ex.can_send() || ex.remaining().is_zero() {
+                    return Err(OpenError::Refused(ALL_REFUSED));
+                }
+            }
             SendOutcome::NotExecuted(outcome) => {
                 ex.record_attempt(slot, outcome);
                 if !ex.can_send() || ex.remaining().is_zero() {
-                    let retry_after = RETRY_AFTER_REFUSALS;
-                    let refusal = Refusal { code: Code::EndpointFull, retry_after };
-                    return Err(OpenError::Refused(refusal));
+                    return Err(OpenError::Refused(ALL_REFUSED));
                 }
             }
             SendOutcome::MaybeExecuted(outcome) => {
@@ -292,7 +286,7 @@
             if self.ex.now().saturating_duration_since(interrupted_at) > RESUME_TIME_MAX {
                 break;
             }
-            match open(&mut self.ex, last_id, true).await {
+            match open(&mut self.ex, last_id).await {
                 Ok(source) => {
                     self.source = Some(source);
                     self.sound = false;
@@ -302,6 +296,7 @@
                 Err(OpenError::Refused(_) | OpenError::Interrupted) => {
                     // Endpoints that refuse while their group re-forms may accept shortly after.
                     self.ex.tried.clear();
+                    self.ex.unopened = 0;
                     sleep(RESUME_PAUSE).await;
                 }
             }
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -25,18 +25,22 @@
 
 /// Sends the request to one endpoint after another, as often as the route allows.
 pub(crate) async fn serve(mut ex: Exchange) -> Response<ResponseBody> {
-    let mut sent_before = false;
     // An endpoint's own error response, delivered unless another endpoint succeeds.
     let mut failure: Option<(EndpointResponse, Bytes)> = None;
     let all_refused = Refusal { code: Code::EndpointFull, retry_after: RETRY_AFTER_REFUSALS };
     loop {
-        let slot = match ex.acquire_slot(sent_before).await {
+        let slot = match ex.acquire_slot().await {
             Ok(slot) => slot,
             Err(refusal) => return final_response(&mut ex, failure, refusal),
         };
-        sent_before = true;
         let time_limit = attempt_time(&ex, slot.key);
         match upstream::send(&ex, &slot, time_limit, None).await {
+            SendOutcome::Unopened(outcome) => {
+                ex.record_unopened(slot, outcome);
+                if !ex.can_send() || ex.remaining().is_zero() {
+                    return final_response(&mut ex, failure, all_refused);
+                }
+            }
             SendOutcome::NotExecuted(outcome) => {
                 ex.record_attempt(slot, outcome);
                 if !ex.can_send() || ex.remaining().is_zero() {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -58,6 +58,8 @@
 pub(crate) enum SendOutcome {
     /// The endpoint responded to this request.
     Response(Box<EndpointResponse>),
+    /// No endpoint was reached.
+    Unopened(RequestOutcome),
     /// The endpoint did not execute the request.
     NotExecuted(RequestOutcome),
     /// The endpoint may have executed the request.
@@ -93,9 +95,9 @@
         }
         Some(Err(HttpError::Unreachable)) => {
             client.discard_idle();
-            return SendOutcome::NotExecuted(RequestOutcome::Unreachable);
+            return SendOutcome::Unopened(RequestOutcome::Unreachable);
         }
-        Some(Err(HttpError::NotSent)) => return SendOutcome::NotExecuted(RequestOutcome::Unused),
+        Some(Err(HttpError::NotSent)) => return SendOutcome::Unopened(RequestOutcome::Unused),
         Some(Err(HttpError::Broken { cause, idle })) => {
             log_broken_connection(ex, slot, &cause, idle);
             return SendOutcome::MaybeExecuted(RequestOutcome::Broken);
