Gateway: an endpoint whose address another one has taken over gets no requests

Cause: the registry marks the endpoint before as gone when another one claims its address, but the pool of its service was told of the newcomer only, so it went on sending to the old id until its registration expired, 120 s later. Now the pool is told too, also if the newcomer belongs to another service.

--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -90,6 +90,11 @@
         self.by_id.get(id)
     }
 
+    /// The endpoint that last claimed an address.
+    pub fn holder(&self, address: &SocketAddr) -> Option<&str> {
+        self.by_address.get(address).map(String::as_str)
+    }
+
     /// Iterates over all endpoints, including those that are gone.
     pub fn iter(&self) -> impl Iterator<Item = &Registration> {
         self.by_id.values()
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -137,8 +137,12 @@
     let (id, born_ms, state) =
         (heartbeat.id.clone(), heartbeat.born_ms, HeartbeatState::from_number(heartbeat.state));
     let mut fleet = gateway.fleet();
+    let mut holder = None;
     let change = match Heartbeat::try_from(heartbeat) {
-        Ok(beat) => fleet.registry.record_heartbeat(received_at, beat),
+        Ok(beat) => {
+            holder = fleet.registry.holder(&beat.address).filter(|h| *h != id).map(str::to_owned);
+            fleet.registry.record_heartbeat(received_at, beat)
+        }
         // The notice of an endpoint that left before any heartbeat was seen has only its id.
         Err(_) if state == HeartbeatState::Gone => {
             let marked = fleet.registry.mark_gone(now, &id, Some(born_ms));
@@ -147,8 +151,14 @@
         Err(_) => RegistryChange::Ignored,
     };
     let known = fleet.registry.get(&id).cloned();
+    let replaced = holder.and_then(|h| fleet.registry.get(&h).cloned()).filter(|r| r.replaced);
     let evacuated = fleet.evacuated.clone();
     drop(fleet);
+    if let Some(replaced) = replaced {
+        // Its service may be another one.
+        let pool = gateway.pool(&replaced.heartbeat.service);
+        pool.with_pool(|pool| pool.update_registration(&replaced));
+    }
     let (Some(known), true) = (known, change != RegistryChange::Ignored) else { return };
     if change == RegistryChange::Changed {
         log::info!(
