Gateway: an endpoint that has ended gets no requests before its next heartbeat

Cause: a refused connection ejected an endpoint for 0.6 to 4 s only, and it looks idle, so it came first again until its registration expired, 120 s after its end; it also counted for the streams that the fleet may have in flight. Now an endpoint whose address refuses connections, or answers for another one, is out until a heartbeat comes that was received later, for 15 s at most, since heartbeats may be held up.

--- a/crates/agent/src/engine_run.rs
+++ b/crates/agent/src/engine_run.rs
@@ -108,7 +108,7 @@
         let sent_at = self.agent.clock.now();
         let (response, tx) = match self.agent.client.send(req, self.attempt_id.is_some()).await {
             Ok(pair) => pair,
-            Err(HttpError::NotSent | HttpError::Unreachable) => {
+            Err(HttpError::NotSent | HttpError::Refused | HttpError::Unreachable) => {
                 // The probe tells whether the engine is down or only refused another connection.
                 health::probe(&self.agent).await;
                 return Outcome::NotRun(Code::EngineUnreachable);
--- a/crates/core/src/dispatch/member.rs
+++ b/crates/core/src/dispatch/member.rs
@@ -26,6 +26,8 @@
     Refused,
     /// The connection could not be established.
     Unreachable,
+    /// No process listens at the address, or another endpoint does.
+    Ended,
     /// The response broke off or was invalid.
     Broken,
     /// The endpoint sent nothing until the timeout.
@@ -64,6 +66,9 @@
 const EJECTION_MIN: Duration = Duration::from_millis(600);
 /// Upper bound of the ejection time.
 const EJECTION_MAX: Duration = Duration::from_secs(4);
+/// Time after which an endpoint that had ended is tried again without a heartbeat: its heartbeats may
+/// be held up while the control instances have no quorum or are cut off.
+const ENDED_RECHECK_TIME: Duration = Duration::from_secs(15);
 /// Agent reports older than this are ignored.
 const REPORT_STALE_AFTER: Duration = Duration::from_millis(1500);
 
@@ -95,6 +100,8 @@
     pub rank_state: Option<RankState>,
     /// End of the current or last ejection.
     pub ejected_until: Option<Instant>,
+    /// When no process of the endpoint was found at its address.
+    ended_at: Option<Instant>,
     latency_ms: Ewma,
     failure_rate: Ewma,
     consecutive_failures: u32,
@@ -116,6 +123,7 @@
             key_hash,
             rank_state: None,
             ejected_until: None,
+            ended_at: None,
             latency_ms: Ewma::default(),
             failure_rate: Ewma::default(),
             consecutive_failures: 0,
@@ -139,7 +147,18 @@
     /// Whether the endpoint accepts new requests and is not ejected.
     pub fn is_available(&self, now: Instant) -> bool {
         let open = self.rank_state.as_ref().is_none_or(|r| r.open || self.report_is_stale(now));
-        self.registration.heartbeat.state == HeartbeatState::Ready && !self.is_ejected(now) && open
+        self.registration.heartbeat.state == HeartbeatState::Ready
+            && !self.is_ejected(now)
+            && !self.has_ended(now)
+            && open
+    }
+
+    /// Whether the endpoint was found to have ended, and has not been heard since.
+    pub fn has_ended(&self, now: Instant) -> bool {
+        self.ended_at.is_some_and(|at| {
+            self.registration.received_at <= at
+                && now.saturating_duration_since(at) < ENDED_RECHECK_TIME
+        })
     }
 
     /// Whether the endpoint is ejected after failures.
@@ -257,6 +276,7 @@
             RequestOutcome::Refused => {}
             RequestOutcome::Failed => self.failure_rate.add(now, 1.0, STATS_TIME_CONSTANT),
             RequestOutcome::Unreachable => self.eject(now),
+            RequestOutcome::Ended => self.ended_at = Some(now),
             RequestOutcome::Broken | RequestOutcome::Silent => {
                 self.failure_rate.add(now, 1.0, STATS_TIME_CONSTANT);
                 self.consecutive_failures += 1;
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -529,7 +529,7 @@
         let mut fleet = FleetLoad::default();
         let (mut reporting, mut age_s) = (0, 0.0);
         for m in self.members.values() {
-            if m.registration.heartbeat.state == HeartbeatState::Gone {
+            if m.registration.heartbeat.state == HeartbeatState::Gone || m.has_ended(now) {
                 continue;
             }
             fleet.endpoints += 1;
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -620,3 +620,28 @@
         "{refused:?}"
     );
 }
+
+/// Guards against sends to an endpoint that has ended, again and again until its registration expires
+/// (found beside the incident BUDGET).
+#[test]
+fn ended_endpoint_gets_no_request_before_its_next_heartbeat() {
+    let now = Instant::now();
+    let mut pool = pool(now, PoolSettings::default(), 2);
+    let ended = expect_sent(pool.dispatch(now, &request(now)));
+    pool.complete(now, ended, RequestOutcome::Ended, Duration::ZERO);
+    let mut registration = pool.member(ended).unwrap().registration.clone();
+    for second in 1..15 {
+        let now = now + second * Duration::from_secs(1);
+        let key = expect_sent(pool.dispatch(now, &request(now)));
+        assert_ne!(key, ended, "sent to it after {second} s");
+        pool.complete(now, key, RequestOutcome::Whole, Duration::ZERO);
+    }
+    let heard_at = now + Duration::from_secs(14);
+    registration.received_at = heard_at;
+    pool.update_registration(&registration);
+    assert!(pool.member(ended).unwrap().is_available(heard_at));
+    // An endpoint whose heartbeats are held up is tried again after a while.
+    pool.complete(heard_at, ended, RequestOutcome::Ended, Duration::ZERO);
+    assert!(!pool.member(ended).unwrap().is_available(heard_at + Duration::from_secs(14)));
+    assert!(pool.member(ended).unwrap().is_available(heard_at + Duration::from_secs(15)));
+}
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -93,6 +93,10 @@
             client.discard_idle();
             return SendOutcome::MaybeExecuted(RequestOutcome::Silent);
         }
+        Some(Err(HttpError::Refused)) => {
+            client.discard_idle();
+            return SendOutcome::Unopened(RequestOutcome::Ended);
+        }
         Some(Err(HttpError::Unreachable)) => {
             client.discard_idle();
             return SendOutcome::Unopened(RequestOutcome::Unreachable);
@@ -136,11 +140,8 @@
 
 /// Reads a refusal to its end, so that the connection can be reused.
 async fn consume_refusal(mut response: EndpointResponse) -> SendOutcome {
-    let outcome = if response.meta.misdirected {
-        RequestOutcome::Unreachable
-    } else {
-        RequestOutcome::Refused
-    };
+    let outcome =
+        if response.meta.misdirected { RequestOutcome::Ended } else { RequestOutcome::Refused };
     if timeout(REFUSAL_BODY_TIMEOUT, drain(&mut response.body)).await == Some(true) {
         response.reuse_connection();
     }
--- a/crates/net/src/http_client.rs
+++ b/crates/net/src/http_client.rs
@@ -70,6 +70,8 @@
 /// Why a request got no response.
 #[derive(Debug)]
 pub enum HttpError {
+    /// No process listens at the address; the request was not executed.
+    Refused,
     /// No connection could be opened; the request was not executed.
     Unreachable,
     /// The connection closed before anything was sent; the request was not executed.
@@ -206,7 +208,13 @@
 
     async fn connect(&self) -> Result<HttpConnection, HttpError> {
         let stream = timeout(self.cfg.connect_timeout, TcpStream::connect(self.address)).await;
-        let stream = stream.and_then(Result::ok).ok_or(HttpError::Unreachable)?;
+        let stream = match stream {
+            Some(Ok(stream)) => stream,
+            Some(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => {
+                return Err(HttpError::Refused);
+            }
+            Some(Err(_)) | None => return Err(HttpError::Unreachable),
+        };
         let _ = stream.set_nodelay(true);
         match self.cfg.abandonment {
             Abandonment::KernelTimeout(time) => set_ack_timeout(&stream, time),
