Gateway: a stream leaves an unreachable endpoint before its caller leaves

Cause: one time-out for streams that stall and for streams that never begin. Now a stream that may run again and has another endpoint left gives up an endpoint that was silent for 1 s, whose agent reports nothing and whose address does not respond to a new connection. An endpoint that accepts connections is waited for as before: silence alone is no reason.

--- a/crates/gateway/src/endpoint_ends.rs
+++ b/crates/gateway/src/endpoint_ends.rs
@@ -13,6 +13,7 @@
 
 use crocustally_core::Digest;
 use crocustally_core::control::PromptPart;
+use crocustally_core::dispatch::MemberKey;
 use crocustally_core::dispatch::RequestOutcome;
 use crocustally_core::fleet::HeartbeatState;
 use crocustally_core::fleet::Registration;
@@ -27,6 +28,7 @@
 use crocustally_wire::ServiceParts;
 use crocustally_wire::control_client::ControlClient;
 use event_listener::Event;
+use futures_lite::future;
 use smallvec::SmallVec;
 
 use crate::Gateway;
@@ -38,6 +40,9 @@
 /// Silence after which a caller that leaves may have left because the endpoint had ended: half of the
 /// shortest time for which callers wait for an event.
 const SUSPICIOUS_SILENCE: Duration = Duration::from_millis(1000);
+/// Age up to which a report of an endpoint's agent shows that the endpoint is up: several of its
+/// intervals, and the way over a control instance.
+const REPORT_AGE_MAX: Duration = Duration::from_millis(700);
 /// Pauses between the checks of an endpoint that broke off a request: its listener may still be
 /// closing, and its successor takes a heartbeat to be known.
 const CHECK_PAUSES: [Duration; 5] = [
@@ -244,6 +249,25 @@
     }
 }
 
+/// Completes once the endpoint of a stream that has not begun turns out to be unreachable, in time for
+/// another one: it has been silent, its agent reports nothing, and its address does not respond.
+pub(crate) async fn unreachable(ex: &Exchange, key: MemberKey, address: SocketAddr) {
+    sleep(SUSPICIOUS_SILENCE).await;
+    let now = ex.now();
+    let mut tried = ex.tried.clone();
+    tried.push(key);
+    let (reported, elsewhere) = ex.slot_pool.with_pool(|pool| {
+        let age = pool.member(key).and_then(|m| m.report_age(now));
+        (age.is_some_and(|age| age < REPORT_AGE_MAX), pool.may_retry_elsewhere(now, &tried))
+    });
+    let client = ex.gateway.endpoint_client(address);
+    let connects = async { client.check_connection().await == ConnectionCheck::Accepts };
+    if reported || !elsewhere || connects.await {
+        future::pending().await
+    }
+    client.discard_idle();
+}
+
 /// Reports the suspects among the parts of a request whose answer has turned out sound.
 pub(crate) fn report_sound(ex: &Exchange) {
     if ex.meta.shared_parts.is_empty() {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -13,6 +13,7 @@
 use crocustally_net::full_body;
 use crocustally_net::sleep;
 use crocustally_net::timeout;
+use futures_lite::future;
 use futures_lite::stream;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
@@ -76,7 +77,7 @@
             Err(OpenError::Interrupted) => return ex.fail(),
         };
         // The head is sent with the first event, so that another endpoint can serve until then.
-        match next_item(&ex, &mut source).await {
+        match first_item(&ex, &mut source).await {
             StreamItem::Interrupted(outcome) => {
                 ex.record_attempt(source.slot, outcome);
                 if !ex.can_rerun() || !ex.can_send() {
@@ -93,7 +94,16 @@
     loop {
         let slot = ex.acquire_slot().await.map_err(OpenError::Refused)?;
         let time_limit = ex.remaining().min(SILENCE_TIMEOUT);
-        match upstream::send(ex, &slot, time_limit, last_event_id).await {
+        let attempts_left = ex.executions + 1 < ex.route.attempts;
+        let send = upstream::send(ex, &slot, time_limit, last_event_id);
+        let given_up = async {
+            if !ex.route.kind.is_retryable() || !attempts_left {
+                future::pending().await
+            }
+            endpoint_ends::unreachable(ex, slot.key, slot.address).await;
+            SendOutcome::MaybeExecuted(RequestOutcome::Silent)
+        };
+        match future::or(send, given_up).await {
             SendOutcome::Unopened(outcome) => {
                 ex.record_unopened(slot, outcome);
                 if !ex.can_send() || ex.remaining().is_zero() {
@@ -151,6 +161,20 @@
     OpenError::Final(Box::new(out))
 }
 
+/// Waits for the first item. An endpoint that cannot be reached any more is left in time for another
+/// one.
+async fn first_item(ex: &Exchange, source: &mut UpstreamStream) -> StreamItem {
+    let (key, address) = (source.slot.key, source.slot.address);
+    let given_up = async {
+        if !ex.can_rerun() {
+            future::pending().await
+        }
+        endpoint_ends::unreachable(ex, key, address).await;
+        StreamItem::Interrupted(RequestOutcome::Silent)
+    };
+    future::or(next_item(ex, source), given_up).await
+}
+
 /// Waits for complete events, the end of the stream, or its interruption.
 async fn next_item(ex: &Exchange, source: &mut UpstreamStream) -> StreamItem {
     loop {
