Gateway: a stream that ends inside an event has been broken off

New on the wire: responses, streams too, without a length or chunks. Callers saw (shown by the test): a stream of which an endpoint sent two events and a part of the third arrived as complete, since what was left at the end of a body was passed on. Now it is an interruption, and the stream is resumed like any other; so is one that ends with its connection before any event. The connection of such a response is not kept.

close_delimited (3 tests); stream_that_ends_inside_an_event_is_resumed fails on the code before.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -51,7 +51,7 @@
 /// Next item of an upstream stream.
 enum StreamItem {
     Events(Bytes),
-    End(Bytes),
+    End,
     Interrupted(RequestOutcome),
 }
 
@@ -211,11 +211,21 @@
                 }
             }
             Some(Some(Err(_))) => return StreamItem::Interrupted(RequestOutcome::Broken),
-            Some(None) => return StreamItem::End(source.buf.take_remaining()),
+            Some(None) => return stream_end(source),
         }
     }
 }
 
+/// How a body that has ended leaves its stream. One that ends inside an event has been broken off,
+/// and so has one that ends with its connection before any event.
+fn stream_end(source: &UpstreamStream) -> StreamItem {
+    let none_came = source.response.close_delimited && source.buf.last_id().is_none();
+    if source.buf.incomplete_len() > 0 || none_came {
+        return StreamItem::Interrupted(RequestOutcome::Broken);
+    }
+    StreamItem::End
+}
+
 /// Builds the response: the head of the first upstream stream, and the events of all of them.
 fn relay(mut ex: Exchange, source: UpstreamStream, first: StreamItem) -> Response<ResponseBody> {
     let head = &source.response.head;
@@ -269,13 +279,16 @@
                     }
                     return Some(Ok(Frame::data(events)));
                 }
-                StreamItem::End(remaining) => {
+                StreamItem::End => {
                     let source = self.source.take()?;
-                    endpoint_ends::report_sound(&self.ex);
+                    // A crash may look like the end of a connection that ends its stream.
+                    if !source.response.close_delimited {
+                        endpoint_ends::report_sound(&self.ex);
+                    }
                     self.ex.record_attempt(source.slot, RequestOutcome::Whole);
                     source.response.reuse_connection();
                     self.ex.access_log.complete = true;
-                    return (!remaining.is_empty()).then(|| Ok(Frame::data(remaining)));
+                    return None;
                 }
                 StreamItem::Interrupted(outcome) => {
                     if !self.resume(outcome).await {
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -73,7 +73,7 @@
                     slot,
                     if failed { RequestOutcome::Failed } else { RequestOutcome::Whole },
                 );
-                if response.head.status.is_success() {
+                if response.head.status.is_success() && !response.close_delimited {
                     endpoint_ends::report_sound(&ex);
                 }
                 let retry = failed && ex.can_rerun() && ex.can_send();
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -15,7 +15,9 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::Request;
+use hyper::body::Body;
 use hyper::body::Incoming;
+use hyper::header::TRANSFER_ENCODING;
 use hyper::http::response;
 use hyper::http::uri::PathAndQuery;
 
@@ -32,6 +34,8 @@
     pub(crate) head: response::Parts,
     pub(crate) meta: ResponseHead,
     pub(crate) body: Incoming,
+    /// Whether only the end of the connection ends the body.
+    pub(crate) close_delimited: bool,
     client: Arc<HttpClient>,
     conn: HttpConnection,
 }
@@ -44,7 +48,7 @@
 
     /// Returns the connection to the client's pool; the body must have been read to its end.
     pub(crate) fn reuse_connection(self) {
-        if self.meta.closes_connection {
+        if self.meta.closes_connection || self.close_delimited {
             return;
         }
         match self.meta.keep_alive {
@@ -110,18 +114,28 @@
     };
     let (head, body) = response.into_parts();
     let meta = ex.gateway.dialect.decode_response(&head);
+    let close_delimited = !body.is_end_stream() && body.size_hint().exact().is_none() && {
+        !head.headers.contains_key(TRANSFER_ENCODING)
+    };
     let wrong_request = meta.request_id.as_ref().is_some_and(|id| *id != ex.meta.id);
     if wrong_request || meta.content_encoded {
         return SendOutcome::MaybeExecuted(RequestOutcome::Broken);
     }
     if meta.not_executed {
-        let response = EndpointResponse { head, meta, body, client, conn };
+        let response = EndpointResponse { head, meta, body, close_delimited, client, conn };
         return consume_refusal(response).await;
     }
     if head.status.is_success() && (!meta.signed || meta.request_id.is_none()) {
         return SendOutcome::MaybeExecuted(RequestOutcome::Broken);
     }
-    SendOutcome::Response(Box::new(EndpointResponse { head, meta, body, client, conn }))
+    SendOutcome::Response(Box::new(EndpointResponse {
+        head,
+        meta,
+        body,
+        close_delimited,
+        client,
+        conn,
+    }))
 }
 
 /// Logs why the connection of a request broke: the same outcome may have been caused by the endpoint,
