Crash evidence: ends are independent if their requests were sent one after the other

Ends within one second counted as one, so that a rack does not count as many; but a part that ends endpoints in quick succession then ended many before three seconds had passed, and ends in silence, which are noticed one after the other, were not merged. Reports now say how long ago each request was sent and each end was noticed; an end is independent of an earlier one if the first request with the part was sent after that was noticed. A rack's requests were all sent before.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -13,6 +13,7 @@
 use crocustally_core::control::Ticket;
 use crocustally_net::Runtime;
 
+use crate::blocked;
 use crate::demo;
 use crate::operate;
 use crate::operate::Change;
@@ -30,6 +31,12 @@
         .action(ArgAction::Append)
         .value_parser(value_parser!(SocketAddr))
         .help("Peer address of an entry; may be given several times");
+    let control = Arg::new("control")
+        .long("control")
+        .required(true)
+        .action(ArgAction::Append)
+        .value_parser(value_parser!(SocketAddr))
+        .help("Peer address of a control instance; may be given several times");
     let json = Arg::new("json").long("json").action(ArgAction::SetTrue);
     let file = Arg::new("file").required(true).value_parser(value_parser!(PathBuf));
     let name = Arg::new("name").required(true);
@@ -77,6 +84,18 @@
                 .arg(entry)
                 .arg(Arg::new("undo").long("undo").action(ArgAction::SetTrue)),
         )
+        .subcommand(
+            Command::new("blocked")
+                .about("List the parts of prompts whose requests are refused")
+                .arg(control.clone()),
+        )
+        .subcommand(
+            Command::new("lift")
+                .about("Serve requests with a part of prompts again")
+                .arg(Arg::new("service").required(true))
+                .arg(Arg::new("part").required(true))
+                .arg(control),
+        )
         .subcommand(
             Command::new("key-hash")
                 .about("Print the hash of a bearer key, for a ticket")
@@ -99,6 +118,12 @@
     let rt = Runtime::start(THREADS);
     match subcommand {
         "check" => check_ticket(m),
+        "blocked" => async_io::block_on(blocked::list(&rt, &addresses(m, "control"))),
+        "lift" => {
+            let (service, part) = (string_arg(m, "service"), string_arg(m, "part"));
+            let controls = addresses(m, "control");
+            async_io::block_on(blocked::lift(&rt, &controls, &service, &part))
+        }
         "key-hash" => {
             println!("{}", Digest::key_hash(string_arg(m, "name").as_bytes()));
             ExitCode::SUCCESS
@@ -158,7 +183,11 @@
 }
 
 fn entry_addresses(m: &ArgMatches) -> Vec<SocketAddr> {
-    m.get_many::<SocketAddr>("entry").unwrap_or_default().copied().collect()
+    addresses(m, "entry")
+}
+
+fn addresses(m: &ArgMatches, name: &str) -> Vec<SocketAddr> {
+    m.get_many::<SocketAddr>(name).unwrap_or_default().copied().collect()
 }
 
 fn string_arg(m: &ArgMatches, name: &str) -> String {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -5,6 +5,7 @@
 //! gets the response of the first sending.
 
 mod args;
+mod blocked;
 mod demo;
 mod operate;
 mod plot;
--- a/crates/core/src/control/crash_evidence.rs
+++ b/crates/core/src/control/crash_evidence.rs
@@ -16,18 +16,15 @@
 
 use super::PromptPart;
 
-/// Episodes with an end under a part, and no sound answer since the first, after which the part is
-/// blocked if it was in flight at all ends since the first. Two may be a coincidence.
-pub const EPISODES_BEFORE_BLOCK: usize = 3;
+/// Independent ends under a part, with no sound answer since the first, after which the part is blocked
+/// if it was in flight at all ends since the first. Two may be a coincidence.
+pub const ENDS_BEFORE_BLOCK: usize = 3;
 /// The same if endpoints have also ended without the part meanwhile, so that there is another cause,
 /// and a part may have been in flight at ends of both.
-const EPISODES_BEFORE_MIXED_BLOCK: usize = 4;
-/// Time in milliseconds within which ends belong to one episode. Endpoints that end together, such as
-/// those of a rack, have one cause, so they count once.
-pub const EPISODE_MS: u64 = 1000;
+const ENDS_BEFORE_MIXED_BLOCK: usize = 4;
 /// Ends retained for each service; the oldest is dropped first. More than a region has endpoints.
 const ENDS_RETAINED: usize = 1024;
-/// Suspect parts retained for each service; those with the fewest episodes are dropped first.
+/// Suspect parts retained for each service; those with the fewest ends are dropped first.
 const PARTS_RETAINED: usize = 4096;
 /// Blocks retained for each service; the oldest is dropped first. Each has cost three endpoints.
 const BLOCKS_RETAINED: usize = 256;
@@ -41,8 +38,9 @@
 ///
 /// Endpoints end while they hold requests. Each of these is as near to the end as the one that caused
 /// it, so every part of each is a suspect. A part stops being one as soon as an answer on it turns out
-/// sound. What is left after three episodes is blocked, the part with the most ends first, and its ends
-/// no longer speak against the others. Parts that the evidence cannot tell apart, because they always
+/// sound. What is left after three independent ends is blocked, the part with the most ends first, and
+/// its ends no longer speak against the others. An end is independent of an earlier one if its requests
+/// were sent after that: endpoints that end together, such as those of a rack, have one cause. Parts that the evidence cannot tell apart, because they always
 /// came together, are blocked together: only requests with all of them are refused.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashEvidence {
@@ -54,8 +52,6 @@
 struct Evidence {
     ends: VecDeque<End>,
     ends_seen: u64,
-    episode: u64,
-    episode_start_ms: u64,
     /// Number of reports, which orders parts by age.
     reports: u64,
     suspects: BTreeMap<PromptPart, Suspect>,
@@ -68,14 +64,14 @@
     number: u64,
     endpoint: String,
     born_ms: u64,
-    episode: u64,
+    noticed_ms: u64,
 }
 
 /// A part under which endpoints have ended since its last sound answer.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct Suspect {
-    /// Numbers of the ends.
-    ends: BTreeSet<u64>,
+    /// Numbers of the ends, and when the first request with the part was sent to each endpoint.
+    ends: BTreeMap<u64, u64>,
     /// Parts that were in every request that the part was in.
     companions: Parts,
     reported_at: u64,
@@ -146,15 +142,16 @@
         let number = self.end_number(at_ms, end);
         let requests: Vec<Parts> =
             end.requests.iter().map(|r| r.parts.iter().map(|p| PromptPart(*p)).collect()).collect();
+        let sent = end.requests.iter().map(|r| at_ms.saturating_sub(u64::from(r.sent_ago_ms)));
         let explained_by = self.blocked_in(&requests).or_else(|| self.explanation(number));
         if let Some(guilty) = &explained_by {
             self.explain(number, guilty);
         }
-        for parts in &requests {
+        for (parts, sent_ms) in requests.iter().zip(sent) {
             for part in parts {
                 let explained = explained_by.as_ref().is_some_and(|guilty| !guilty.contains(part));
                 if !explained {
-                    self.add(number, *part, parts);
+                    self.add(number, sent_ms, *part, parts);
                 }
             }
         }
@@ -162,33 +159,28 @@
         self.update_blocks(at_ms);
     }
 
-    /// Number of the end in a report; an end that is new opens an episode if none is under way.
+    /// Number of the end in a report.
     fn end_number(&mut self, at_ms: u64, end: &EndpointEnd) -> u64 {
-        let same = |e: &&End| e.endpoint == end.endpoint && e.born_ms == end.born_ms;
-        if let Some(known) = self.ends.iter().find(same) {
+        let noticed_ms = at_ms.saturating_sub(u64::from(end.noticed_ago_ms));
+        let same = |e: &&mut End| e.endpoint == end.endpoint && e.born_ms == end.born_ms;
+        if let Some(known) = self.ends.iter_mut().find(same) {
+            known.noticed_ms = known.noticed_ms.min(noticed_ms);
             return known.number;
         }
-        let in_episode = at_ms >= self.episode_start_ms
-            && at_ms - self.episode_start_ms < EPISODE_MS
-            && self.ends_seen > 0;
-        if !in_episode {
-            self.episode += 1;
-            self.episode_start_ms = at_ms;
-        }
         self.ends_seen += 1;
-        let (number, episode) = (self.ends_seen, self.episode);
-        let (endpoint, born_ms) = (end.endpoint.clone(), end.born_ms);
-        self.ends.push_back(End { number, endpoint, born_ms, episode });
+        let (number, endpoint) = (self.ends_seen, end.endpoint.clone());
+        self.ends.push_back(End { number, endpoint, born_ms: end.born_ms, noticed_ms });
         number
     }
 
-    fn add(&mut self, number: u64, part: PromptPart, request: &[PromptPart]) {
+    fn add(&mut self, number: u64, sent_ms: u64, part: PromptPart, request: &[PromptPart]) {
         let others = request.iter().copied().filter(|p| *p != part);
         let reported_at = self.reports;
         let new = || Suspect { companions: others.clone().collect(), ..Suspect::default() };
         let suspect = self.suspects.entry(part).or_insert_with(new);
         suspect.companions.retain(|p| request.contains(p));
-        suspect.ends.insert(number);
+        let first_sent_ms = suspect.ends.entry(number).or_insert(sent_ms);
+        *first_sent_ms = sent_ms.min(*first_sent_ms);
         suspect.reported_at = reported_at;
     }
 
@@ -200,7 +192,8 @@
 
     /// Parts whose block explains an end; `None` if the end has no explanation yet.
     fn explanation(&self, number: u64) -> Option<Parts> {
-        let under = |p: &PromptPart| self.suspects.get(p).is_some_and(|s| s.ends.contains(&number));
+        let under =
+            |p: &PromptPart| self.suspects.get(p).is_some_and(|s| s.ends.contains_key(&number));
         self.blocks.iter().find(|b| b.parts.iter().all(under)).map(|b| b.parts.clone())
     }
 
@@ -226,27 +219,41 @@
         self.suspects.contains_key(&part) || self.blocks.iter().any(|b| b.parts.contains(&part))
     }
 
-    fn episodes(&self, suspect: &Suspect) -> usize {
-        let episode = |number: &u64| self.ends.iter().find(|e| e.number == *number);
-        let episodes: BTreeSet<u64> =
-            suspect.ends.iter().filter_map(episode).map(|e| e.episode).collect();
-        episodes.len()
+    /// Number of ends under a part that cannot have one cause besides the part: each one's requests
+    /// were sent after the one before was noticed.
+    fn independent_ends(&self, suspect: &Suspect) -> usize {
+        let end = |(number, sent_ms): (&u64, &u64)| {
+            let end = self.ends.iter().find(|e| e.number == *number)?;
+            Some((end.noticed_ms, *sent_ms))
+        };
+        let mut ends: Vec<(u64, u64)> = suspect.ends.iter().filter_map(end).collect();
+        ends.sort();
+        let mut last_noticed_ms = None;
+        let mut count = 0;
+        for (noticed_ms, sent_ms) in ends {
+            if last_noticed_ms.is_none_or(|last| sent_ms >= last) {
+                last_noticed_ms = Some(noticed_ms);
+                count += 1;
+            }
+        }
+        count
     }
 
-    /// Episodes after which a part is blocked.
-    fn episodes_needed(&self, suspect: &Suspect) -> usize {
-        let (Some(first), Some(last)) = (suspect.ends.first(), suspect.ends.last()) else {
-            return EPISODES_BEFORE_BLOCK;
-        };
+    /// Independent ends after which a part is blocked.
+    fn ends_needed(&self, suspect: &Suspect) -> usize {
+        let numbers = (suspect.ends.first_key_value(), suspect.ends.last_key_value());
+        let (Some((first, _)), Some((last, _))) = numbers else { return ENDS_BEFORE_BLOCK };
         let mut between = self.ends.iter().filter(|e| (first..=last).contains(&&e.number));
         let elsewhere =
-            |e: &End| !suspect.ends.contains(&e.number) && self.explanation(e.number).is_none();
-        if between.any(elsewhere) { EPISODES_BEFORE_MIXED_BLOCK } else { EPISODES_BEFORE_BLOCK }
+            |e: &End| !suspect.ends.contains_key(&e.number) && self.explanation(e.number).is_none();
+        if between.any(elsewhere) { ENDS_BEFORE_MIXED_BLOCK } else { ENDS_BEFORE_BLOCK }
     }
 
     /// The part and those companions that the evidence cannot tell from it.
     fn indistinguishable(&self, part: PromptPart, suspect: &Suspect) -> Parts {
-        let same = |p: &PromptPart| self.suspects.get(p).is_some_and(|s| s.ends == suspect.ends);
+        let same = |p: &PromptPart| {
+            self.suspects.get(p).is_some_and(|s| s.ends.keys().eq(suspect.ends.keys()))
+        };
         let mut parts: Parts = suspect.companions.iter().copied().filter(same).collect();
         parts.push(part);
         parts.sort();
@@ -256,7 +263,11 @@
     /// Blocks the parts that the evidence suffices for, those with the most ends first.
     fn update_blocks(&mut self, at_ms: u64) {
         while let Some((part, parts)) = self.next_block() {
-            let ends = self.suspects.get(&part).map(|s| s.ends.clone()).unwrap_or_default();
+            let ends: BTreeSet<u64> = self
+                .suspects
+                .get(&part)
+                .map(|s| s.ends.keys().copied().collect())
+                .unwrap_or_default();
             let under = self.ends.iter().filter(|e| ends.contains(&e.number));
             let endpoints = under.map(|e| e.endpoint.clone()).collect();
             self.blocks.retain(|b| !b.parts.contains(&part));
@@ -272,8 +283,8 @@
 
     /// The part to block next, with those that cannot be told from it.
     fn next_block(&self) -> Option<(PromptPart, Parts)> {
-        let due = self.suspects.iter().filter(|(_, s)| s.ends.len() >= EPISODES_BEFORE_BLOCK);
-        let due = due.filter(|(_, s)| self.episodes(s) >= self.episodes_needed(s));
+        let due = self.suspects.iter().filter(|(_, s)| s.ends.len() >= ENDS_BEFORE_BLOCK);
+        let due = due.filter(|(_, s)| self.independent_ends(s) >= self.ends_needed(s));
         let undecided = due.filter_map(|(part, suspect)| {
             let parts = self.indistinguishable(*part, suspect);
             let decided = self.blocks.iter().any(|b| b.matches(&parts) && b.parts.contains(part));
@@ -308,19 +319,18 @@
         let end = |e: &End| EndState {
             endpoint: e.endpoint.clone(),
             born_ms: e.born_ms,
-            episode: e.episode,
             number: e.number,
+            noticed_ms: e.noticed_ms,
         };
         let part = |(part, s): (&PromptPart, &Suspect)| PartEvidence {
             part: part.0,
-            ends: s.ends.iter().copied().collect(),
+            ends: s.ends.keys().copied().collect(),
+            sent_ms: s.ends.values().copied().collect(),
             companions: s.companions.iter().map(|p| p.0).collect(),
             reported_at: s.reported_at,
         };
         ServiceEvidence {
             service,
-            episode: self.episode,
-            episode_start_ms: self.episode_start_ms,
             ends_seen: self.ends_seen,
             reports: self.reports,
             ends: self.ends.iter().map(end).collect(),
@@ -335,10 +345,10 @@
             number: e.number,
             endpoint: e.endpoint,
             born_ms: e.born_ms,
-            episode: e.episode,
+            noticed_ms: e.noticed_ms,
         };
         let suspect = |p: PartEvidence| {
-            let ends = p.ends.into_iter().collect();
+            let ends = p.ends.into_iter().zip(p.sent_ms).collect();
             let companions = to_parts(p.companions);
             (PromptPart(p.part), Suspect { ends, companions, reported_at: p.reported_at })
         };
@@ -350,8 +360,6 @@
         Self {
             ends: state.ends.into_iter().map(end).collect(),
             ends_seen: state.ends_seen,
-            episode: state.episode,
-            episode_start_ms: state.episode_start_ms,
             reports: state.reports,
             suspects: state.parts.into_iter().map(suspect).collect(),
             blocks: state.blocked.into_iter().map(block).collect(),
--- a/crates/gateway/src/endpoint_ends.rs
+++ b/crates/gateway/src/endpoint_ends.rs
@@ -83,6 +83,23 @@
     incarnation: Incarnation,
     domain: String,
     address: SocketAddr,
+    sent_at: Instant,
+}
+
+/// Prompt of a request that was in flight at an endpoint.
+#[derive(Clone, Debug)]
+struct Suspicion {
+    parts: Parts,
+    sent_at: Instant,
+}
+
+/// End of an endpoint that is to be reported.
+#[derive(Clone, Debug)]
+struct NoticedEnd {
+    service: String,
+    incarnation: Incarnation,
+    noticed_at: Instant,
+    requests: Vec<Suspicion>,
 }
 
 /// Ends and sound parts that are to be reported.
@@ -95,8 +112,8 @@
 #[derive(Debug, Default)]
 struct Pending {
     /// Requests in flight at endpoints that are being checked.
-    checks: HashMap<Incarnation, Vec<Parts>>,
-    ends: Vec<EndpointEnd>,
+    checks: HashMap<Incarnation, Vec<Suspicion>>,
+    ends: Vec<NoticedEnd>,
     sound: BTreeMap<String, BTreeSet<PromptPart>>,
 }
 
@@ -111,6 +128,7 @@
             incarnation: Incarnation { endpoint: beat.id.clone(), born_ms: beat.born_ms },
             domain: beat.domain.clone(),
             address: beat.address,
+            sent_at: ex.now(),
         })
     }
 
@@ -136,15 +154,19 @@
         let gateway = self.gateway.clone();
         let mut pending = gateway.crash_reports.lock();
         if let Some(requests) = pending.checks.get_mut(&self.incarnation) {
-            requests.push(self.parts);
+            requests.push(self.suspicion());
             return;
         }
-        pending.checks.insert(self.incarnation.clone(), vec![self.parts.clone()]);
+        pending.checks.insert(self.incarnation.clone(), vec![self.suspicion()]);
         drop(pending);
         let rt = gateway.rt.clone();
         rt.spawn(self.check(silent));
     }
 
+    fn suspicion(&self) -> Suspicion {
+        Suspicion { parts: self.parts.clone(), sent_at: self.sent_at }
+    }
+
     /// Whether the endpoint has announced that it leaves.
     fn leaves_as_announced(&self) -> bool {
         let fleet = self.gateway.fleet();
@@ -157,13 +179,13 @@
     }
 
     async fn check(self, silent: bool) {
+        let noticed_at = self.gateway.clock.now();
         let ended = self.has_ended(silent).await;
         let gateway = &self.gateway;
         let mut pending = gateway.crash_reports.lock();
         let requests = pending.checks.remove(&self.incarnation).unwrap_or_default();
-        let Incarnation { endpoint, born_ms } = self.incarnation.clone();
         log::info!(
-            endpoint = endpoint.as_str(),
+            endpoint = self.incarnation.endpoint.as_str(),
             service = self.service.as_str(),
             ended = ended,
             silent = silent,
@@ -174,15 +196,15 @@
             return;
         }
         if pending.ends.len() >= ENDS_PENDING_MAX {
-            log::error!(endpoint = endpoint.as_str(); "end of an endpoint not reported: too many");
+            let endpoint = self.incarnation.endpoint.as_str();
+            log::error!(endpoint = endpoint; "end of an endpoint not reported: too many");
             return;
         }
-        let to_wire = |p: &Parts| PromptParts { parts: p.iter().map(|p| p.0).collect() };
-        pending.ends.push(EndpointEnd {
+        pending.ends.push(NoticedEnd {
             service: self.service.clone(),
-            endpoint,
-            born_ms,
-            requests: requests.iter().map(to_wire).collect(),
+            incarnation: self.incarnation.clone(),
+            noticed_at,
+            requests,
         });
         drop(pending);
         gateway.crash_reports.changed.notify(1);
@@ -288,33 +310,53 @@
     let reports = &gateway.crash_reports;
     loop {
         let changed = reports.changed.listen();
-        let report = take_report(&mut reports.lock());
-        if report.ends.is_empty() && report.sound.is_empty() {
+        let (ends, sound) = {
+            let mut pending = reports.lock();
+            (std::mem::take(&mut pending.ends), std::mem::take(&mut pending.sound))
+        };
+        if ends.is_empty() && sound.is_empty() {
             changed.await;
             sleep(REPORT_DELAY).await;
             continue;
         }
-        while !send_report(&gateway, &report).await {
+        while !send_report(&gateway, &ends, &sound).await {
             sleep(REPORT_RETRY_PAUSE).await;
         }
     }
 }
 
-fn take_report(pending: &mut Pending) -> CrashReport {
-    let to_wire = |(service, parts): (String, BTreeSet<PromptPart>)| ServiceParts {
-        service,
-        parts: parts.into_iter().map(|p| p.0).collect(),
+/// The message for a report, with ages as of `now`.
+fn report(
+    now: Instant,
+    ends: &[NoticedEnd],
+    sound: &BTreeMap<String, BTreeSet<PromptPart>>,
+) -> CrashReport {
+    let age_ms = |at: Instant| now.saturating_duration_since(at).as_millis() as u32;
+    let request = |s: &Suspicion| PromptParts {
+        parts: s.parts.iter().map(|p| p.0).collect(),
+        sent_ago_ms: age_ms(s.sent_at),
     };
-    CrashReport {
-        ends: std::mem::take(&mut pending.ends),
-        sound: std::mem::take(&mut pending.sound).into_iter().map(to_wire).collect(),
-        at_ms: 0,
-    }
+    let end = |e: &NoticedEnd| EndpointEnd {
+        service: e.service.clone(),
+        endpoint: e.incarnation.endpoint.clone(),
+        born_ms: e.incarnation.born_ms,
+        requests: e.requests.iter().map(request).collect(),
+        noticed_ago_ms: age_ms(e.noticed_at),
+    };
+    let sound = sound.iter().map(|(service, parts)| ServiceParts {
+        service: service.clone(),
+        parts: parts.iter().map(|p| p.0).collect(),
+    });
+    CrashReport { ends: ends.iter().map(end).collect(), sound: sound.collect(), at_ms: 0 }
 }
 
 /// Sends a report to one control instance after another; returns whether one has taken it. Each
 /// gateway starts with another instance.
-async fn send_report(gateway: &Gateway, report: &CrashReport) -> bool {
+async fn send_report(
+    gateway: &Gateway,
+    ends: &[NoticedEnd],
+    sound: &BTreeMap<String, BTreeSet<PromptPart>>,
+) -> bool {
     let mut clients: Vec<(SocketAddr, ControlClient<Channel>)> =
         gateway.fleet().control_clients.iter().map(|(a, c)| (*a, c.clone())).collect();
     clients.sort_by_cached_key(|(address, _)| {
@@ -323,7 +365,7 @@
     for (address, mut client) in clients {
         let notice = GatewayNotice {
             name: gateway.cfg.name.clone(),
-            report: Some(report.clone()),
+            report: Some(report(gateway.clock.now(), ends, sound)),
             ..GatewayNotice::default()
         };
         if let Some(Ok(_)) = timeout(REPORT_TIMEOUT, client.notice(notice)).await {
@@ -336,8 +378,8 @@
 }
 
 /// Parts of several requests, for a log line.
-fn parts_text(requests: &[Parts]) -> String {
+fn parts_text(requests: &[Suspicion]) -> String {
     let request =
-        |parts: &Parts| parts.iter().map(ToString::to_string).collect::<Vec<_>>().join(",");
+        |s: &Suspicion| s.parts.iter().map(ToString::to_string).collect::<Vec<_>>().join(",");
     requests.iter().map(request).collect::<Vec<_>>().join(" ")
 }
