Daemons: SIGTERM is graceful from the first moment of a start

Cause: the handlers of SIGTERM and SIGINT were installed by a task, after the settings had been read, so until then the default action ended the process. They are installed first now, like that of SIGHUP. What no program can cover is the time before its first instruction.

reload::sigterm_while_settings_are_read_is_a_graceful_shutdown: exit by signal 15 before, exit 0 now.

--- a/crates/daemons/src/daemon.rs
+++ b/crates/daemons/src/daemon.rs
@@ -71,10 +71,11 @@
     T: TryFrom<R, Error = SettingsError> + Send + 'static,
     F: Future<Output = std::io::Result<()>>,
 {
-    let hangups = match Shutdown::hangup_signals() {
-        Ok(hangups) => hangups,
-        Err(e) => {
-            eprintln!("cannot install the SIGHUP handler: {e}");
+    let signals = (Shutdown::hangup_signals(), Shutdown::termination_signals());
+    let (hangups, terminations) = match signals {
+        (Ok(hangups), Ok(terminations)) => (hangups, terminations),
+        (Err(e), _) | (_, Err(e)) => {
+            eprintln!("cannot install the signal handlers: {e}");
             return ExitCode::FAILURE;
         }
     };
@@ -99,7 +100,10 @@
     metrics_handle();
     let rt = Runtime::start(common.threads);
     let reload = move || load_settings::<R, T>(&path);
-    match async_io::block_on(run_until_shutdown(&rt, cfg, &common, hangups, reload, start)) {
+    let shutdown = Shutdown::default();
+    shutdown.on_signals(&rt, terminations);
+    let run = run_until_shutdown(&rt, cfg, &common, shutdown, hangups, reload, start);
+    match async_io::block_on(run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             log::error!(name = common.name.as_str(); "failed to start: {e}");
@@ -112,12 +116,11 @@
     rt: &Runtime,
     cfg: T,
     common: &CommonSettings,
+    shutdown: Shutdown,
     hangups: Signals,
     reload: impl Fn() -> Result<T, SettingsError> + Send + 'static,
     start: impl FnOnce(DaemonContext<T>, T) -> F,
 ) -> std::io::Result<()> {
-    let shutdown = Shutdown::default();
-    shutdown.on_signals(rt);
     let state = AdminState::default();
     let new_settings = watch_settings(rt, Shutdown::reload_requests(rt, hangups), reload);
     let cx = DaemonContext {
--- a/crates/net/src/shutdown.rs
+++ b/crates/net/src/shutdown.rs
@@ -59,16 +59,27 @@
 }
 
 impl Shutdown {
-    /// Requests the shutdown on SIGTERM or SIGINT.
-    pub fn on_signals(&self, rt: &Runtime) {
-        let this = self.clone();
+    /// Requests the shutdown on the first of `signals`.
+    pub fn on_signals(&self, rt: &Runtime, signals: Signals) {
+        let (this, mut signals) = (self.clone(), signals);
         rt.spawn(async move {
-            let Ok(mut signals) = Signals::new([Signal::Term, Signal::Int]) else { return };
             signals.next().await;
             this.request();
         });
     }
 
+    /// Installs the handlers of SIGTERM and SIGINT, whose default action ends the process without a
+    /// graceful shutdown.
+    ///
+    /// To be called first at start, since a supervisor may stop a process at any moment.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the handlers cannot be installed.
+    pub fn termination_signals() -> std::io::Result<Signals> {
+        Signals::new([Signal::Term, Signal::Int])
+    }
+
     /// Installs the handler of SIGHUP, whose default action ends the process.
     ///
     /// To be called first at start, since an operator may send SIGHUP at any moment.
