--- a/crates/daemons/tests/crashing_parts.rs
+++ b/crates/daemons/tests/crashing_parts.rs
@@ -344,6 +344,47 @@
     run_seeds(&[End::Silent], CRASHING_RATE);
 }
 
+/// Guards against a blocked part that crashes endpoints again after a restart (incident BUDGET): of all
+/// processes at once, and of one gateway while a control instance is down.
+#[test]
+fn blocked_part_is_known_after_restarts() {
+    let rt = Runtime::start(2);
+    let seed = 102;
+    async_io::block_on(async {
+        let Started { mut d, arrivals, endpoints: _endpoints } =
+            start(&rt, seed, 4, End::Reset, |_| Vec::new()).await;
+        let gateways: Vec<_> = (0..4).map(|i| d.gateway(i)).collect();
+        let mut traffic = Traffic::new(&rt, gateways, seed);
+        let started_at = Instant::now();
+        let refused = |traffic: &Traffic| {
+            traffic.sent.lock().unwrap().values().any(|s| s.error.contains("4005"))
+        };
+        while !refused(&traffic) {
+            assert!(started_at.elapsed() < ENDS_WITHIN, "the part is not blocked");
+            traffic.run_at(Duration::from_millis(500), SOUND_RATE, CRASHING_RATE).await;
+        }
+        let all = 0..CONTROLS + 4;
+        all.clone().for_each(|i| d.kill(i));
+        all.clone().for_each(|i| d.spawn(i, false));
+        sleep(DISCOVERY).await;
+        let mut reached = ends(&arrivals).len();
+        traffic.run_at(Duration::from_secs(4), SOUND_RATE, CRASHING_RATE).await;
+        assert_eq!(ends(&arrivals).len(), reached, "ends after a restart of all processes");
+        d.kill(0);
+        d.kill(CONTROLS + 1);
+        d.spawn(CONTROLS + 1, false);
+        reached = ends(&arrivals).len();
+        traffic.run_at(Duration::from_secs(4), SOUND_RATE, CRASHING_RATE).await;
+        assert_eq!(ends(&arrivals).len(), reached, "ends after the restart of a gateway");
+        sleep(Duration::from_millis(DEADLINE_MS)).await;
+        println!(
+            "seed {seed}: {reached} ended; status of sound requests {:?}, of the others {:?}",
+            traffic.statuses(false),
+            traffic.statuses(true)
+        );
+    });
+}
+
 /// Guards against sound requests that are refused for want of retry budget (2004) while endpoints are
 /// idle, because sends to ended endpoints are taken for retries (found beside the incident BUDGET).
 #[test]
