Gateway: one check of an endpoint for all requests that it broke off

Each request that broke off opened a connection to see whether its endpoint had crashed, and the check of prompt parts opened another one. Now requests with a list of parts share one check for each incarnation of an endpoint, and its result also counts for the digests of repeated requests; requests without a list are checked as before. A stream whose prompt was blocked meanwhile is not kept waiting for a resumption.

--- a/crates/gateway/src/endpoint_ends.rs
+++ b/crates/gateway/src/endpoint_ends.rs
@@ -33,6 +33,7 @@
 
 use crate::Gateway;
 use crate::exchange::Exchange;
+use crate::suspects;
 
 /// Time after its first event from which an answer cannot be what ends its endpoint: a prompt crashes
 /// endpoints when they begin to answer it, and several forward passes have passed since.
@@ -83,6 +84,7 @@
     incarnation: Incarnation,
     domain: String,
     address: SocketAddr,
+    digest: Digest,
     sent_at: Instant,
 }
 
@@ -90,6 +92,7 @@
 #[derive(Clone, Debug)]
 struct Suspicion {
     parts: Parts,
+    digest: Digest,
     sent_at: Instant,
 }
 
@@ -128,6 +131,7 @@
             incarnation: Incarnation { endpoint: beat.id.clone(), born_ms: beat.born_ms },
             domain: beat.domain.clone(),
             address: beat.address,
+            digest: ex.digest,
             sent_at: ex.now(),
         })
     }
@@ -164,7 +168,7 @@
     }
 
     fn suspicion(&self) -> Suspicion {
-        Suspicion { parts: self.parts.clone(), sent_at: self.sent_at }
+        Suspicion { parts: self.parts.clone(), digest: self.digest, sent_at: self.sent_at }
     }
 
     /// Whether the endpoint has announced that it leaves.
@@ -182,8 +186,8 @@
         let noticed_at = self.gateway.clock.now();
         let ended = self.has_ended(silent).await;
         let gateway = &self.gateway;
-        let mut pending = gateway.crash_reports.lock();
-        let requests = pending.checks.remove(&self.incarnation).unwrap_or_default();
+        let requests = gateway.crash_reports.lock().checks.remove(&self.incarnation);
+        let requests = requests.unwrap_or_default();
         log::info!(
             endpoint = self.incarnation.endpoint.as_str(),
             service = self.service.as_str(),
@@ -195,6 +199,10 @@
         if !ended {
             return;
         }
+        for request in &requests {
+            suspects::report_crash(gateway, request.digest, &self.incarnation.endpoint);
+        }
+        let mut pending = gateway.crash_reports.lock();
         if pending.ends.len() >= ENDS_PENDING_MAX {
             let endpoint = self.incarnation.endpoint.as_str();
             log::error!(endpoint = endpoint; "end of an endpoint not reported: too many");
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -186,7 +186,7 @@
     fn end_attempt(&mut self, slot: Slot, outcome: RequestOutcome) {
         let took = self.now().saturating_duration_since(slot.sent_at);
         self.access_log.tries.push((slot.endpoint.clone(), took, outcome));
-        if outcome == RequestOutcome::Broken {
+        if outcome == RequestOutcome::Broken && self.meta.shared_parts.is_empty() {
             suspects::check_crash(self, &slot);
         }
         self.tried.push(slot.key);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -330,6 +330,7 @@
                     return true;
                 }
                 Err(OpenError::Final(_)) => break,
+                Err(OpenError::Refused(refusal)) if refusal.code == Code::PromptBlocked => break,
                 Err(OpenError::Refused(_) | OpenError::Interrupted) => {
                     // Endpoints that refuse while their group re-forms may accept shortly after.
                     self.ex.tried.clear();
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -1,5 +1,6 @@
 //! Detection of requests that crash endpoints.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use crocustally_core::Digest;
@@ -17,7 +18,8 @@
 /// Timeout for notifying one control instance.
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(1000);
 
-/// Checks in the background whether the endpoint crashed that interrupted a request.
+/// Checks in the background whether the endpoint crashed that interrupted a request without a list of
+/// parts; [`endpoint_ends`](crate::endpoint_ends) checks for the others.
 pub(crate) fn check_crash(ex: &Exchange, slot: &Slot) {
     let (gateway, endpoint, address) = (ex.gateway.clone(), slot.endpoint.clone(), slot.address);
     let digest = ex.digest;
@@ -25,12 +27,20 @@
         crocustally_net::sleep(CRASH_CHECK_DELAY).await;
         let connection = gateway.endpoint_client(address).check_connection().await;
         if connection == ConnectionCheck::Refuses {
-            record_crash(&gateway, digest, &endpoint);
-            notify_controls(&gateway, digest, &endpoint).await;
+            report_crash(&gateway, digest, &endpoint);
         }
     });
 }
 
+/// Records a crash that this gateway has detected, and notifies the others in the background.
+pub(crate) fn report_crash(gateway: &Arc<Gateway>, digest: Digest, endpoint: &str) {
+    record_crash(gateway, digest, endpoint);
+    let (gateway, endpoint) = (gateway.clone(), endpoint.to_owned());
+    gateway.rt.clone().spawn(async move {
+        notify_controls(&gateway, digest, &endpoint).await;
+    });
+}
+
 /// Records an endpoint's crash during a request, whichever gateway detected it.
 pub(crate) fn record_crash(gateway: &Gateway, digest: Digest, endpoint: &str) {
     let now = gateway.clock.now();
