Gateway: a stream with its announced length is whole however its last event ends

With its length complete nothing was broken off; the rule holds for chunks and for the end of a connection.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -54,6 +54,12 @@
     pub fn incomplete_len(&self) -> usize {
         self.buf.len()
     }
+
+    /// Takes the incomplete remainder after the end of the stream.
+    pub fn take_remaining(&mut self) -> Bytes {
+        self.scanned = 0;
+        self.buf.split().freeze()
+    }
 }
 
 /// Index after the first event, including its blank line, which begins at `from` at the earliest.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -26,6 +26,7 @@
 use crate::slots::Slot;
 use crate::upstream;
 use crate::upstream::EndpointResponse;
+use crate::upstream::Framing;
 use crate::upstream::SendOutcome;
 
 /// A stream without an event for this long is abandoned. A group that has lost a rank stalls for
@@ -51,7 +52,7 @@
 /// Next item of an upstream stream.
 enum StreamItem {
     Events(Bytes),
-    End,
+    End(Bytes),
     Interrupted(RequestOutcome),
 }
 
@@ -217,13 +218,15 @@
 }
 
 /// How a body that has ended leaves its stream. One that ends inside an event has been broken off,
-/// and so has one that ends with its connection before any event.
-fn stream_end(source: &UpstreamStream) -> StreamItem {
-    let none_came = source.response.close_delimited && source.buf.last_id().is_none();
-    if source.buf.incomplete_len() > 0 || none_came {
+/// unless it has its announced length, and so has one that ends with its connection before any event.
+fn stream_end(source: &mut UpstreamStream) -> StreamItem {
+    let framing = source.response.framing;
+    let none_came = framing == Framing::Close && source.buf.last_id().is_none();
+    let inside_event = framing != Framing::Length && source.buf.incomplete_len() > 0;
+    if inside_event || none_came {
         return StreamItem::Interrupted(RequestOutcome::Broken);
     }
-    StreamItem::End
+    StreamItem::End(source.buf.take_remaining())
 }
 
 /// Builds the response: the head of the first upstream stream, and the events of all of them.
@@ -279,16 +282,16 @@
                     }
                     return Some(Ok(Frame::data(events)));
                 }
-                StreamItem::End => {
+                StreamItem::End(remaining) => {
                     let source = self.source.take()?;
                     // A crash may look like the end of a connection that ends its stream.
-                    if !source.response.close_delimited {
+                    if source.response.framing != Framing::Close {
                         endpoint_ends::report_sound(&self.ex);
                     }
                     self.ex.record_attempt(source.slot, RequestOutcome::Whole);
                     source.response.reuse_connection();
                     self.ex.access_log.complete = true;
-                    return None;
+                    return (!remaining.is_empty()).then(|| Ok(Frame::data(remaining)));
                 }
                 StreamItem::Interrupted(outcome) => {
                     if !self.resume(outcome).await {
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -16,6 +16,7 @@
 use crate::exchange::Exchange;
 use crate::upstream;
 use crate::upstream::EndpointResponse;
+use crate::upstream::Framing;
 use crate::upstream::SendOutcome;
 
 /// `Retry-After` of a request that endpoints have refused.
@@ -73,7 +74,7 @@
                     slot,
                     if failed { RequestOutcome::Failed } else { RequestOutcome::Whole },
                 );
-                if response.head.status.is_success() && !response.close_delimited {
+                if response.head.status.is_success() && response.framing != Framing::Close {
                     endpoint_ends::report_sound(&ex);
                 }
                 let retry = failed && ex.can_rerun() && ex.can_send();
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -29,13 +29,23 @@
 /// Share of an endpoint's keep-alive time for which an idle connection is reused.
 const KEEP_ALIVE_SHARE: f64 = 0.7;
 
+/// What ends the body of a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// Its announced length.
+    Length,
+    /// Its last chunk.
+    Chunks,
+    /// The end of the connection.
+    Close,
+}
+
 /// An endpoint's response with an unread body.
 pub(crate) struct EndpointResponse {
     pub(crate) head: response::Parts,
     pub(crate) meta: ResponseHead,
     pub(crate) body: Incoming,
-    /// Whether only the end of the connection ends the body.
-    pub(crate) close_delimited: bool,
+    pub(crate) framing: Framing,
     client: Arc<HttpClient>,
     conn: HttpConnection,
 }
@@ -48,7 +58,7 @@
 
     /// Returns the connection to the client's pool; the body must have been read to its end.
     pub(crate) fn reuse_connection(self) {
-        if self.meta.closes_connection || self.close_delimited {
+        if self.meta.closes_connection || self.framing == Framing::Close {
             return;
         }
         match self.meta.keep_alive {
@@ -114,28 +124,25 @@
     };
     let (head, body) = response.into_parts();
     let meta = ex.gateway.dialect.decode_response(&head);
-    let close_delimited = !body.is_end_stream() && body.size_hint().exact().is_none() && {
-        !head.headers.contains_key(TRANSFER_ENCODING)
+    let framing = if body.is_end_stream() || body.size_hint().exact().is_some() {
+        Framing::Length
+    } else if head.headers.contains_key(TRANSFER_ENCODING) {
+        Framing::Chunks
+    } else {
+        Framing::Close
     };
     let wrong_request = meta.request_id.as_ref().is_some_and(|id| *id != ex.meta.id);
     if wrong_request || meta.content_encoded {
         return SendOutcome::MaybeExecuted(RequestOutcome::Broken);
     }
     if meta.not_executed {
-        let response = EndpointResponse { head, meta, body, close_delimited, client, conn };
+        let response = EndpointResponse { head, meta, body, framing, client, conn };
         return consume_refusal(response).await;
     }
     if head.status.is_success() && (!meta.signed || meta.request_id.is_none()) {
         return SendOutcome::MaybeExecuted(RequestOutcome::Broken);
     }
-    SendOutcome::Response(Box::new(EndpointResponse {
-        head,
-        meta,
-        body,
-        close_delimited,
-        client,
-        conn,
-    }))
+    SendOutcome::Response(Box::new(EndpointResponse { head, meta, body, framing, client, conn }))
 }
 
 /// Logs why the connection of a request broke: the same outcome may have been caused by the endpoint,
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -34,5 +34,5 @@
     buf.push(b"id: 1\ndata: a\n\nid: 2\nda");
     assert_eq!(drain_events(&mut buf).len(), 1);
     assert_eq!(buf.last_id(), Some(1));
-    assert_eq!(buf.incomplete_len(), b"id: 2\nda".len());
+    assert_eq!(&buf.take_remaining()[..], b"id: 2\nda");
 }
