Control: reports of many gateways on an end are committed together

Cause on our side: each gateway's report was a command of the log of its own, so an end cost as many writes as there are gateways.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -31,7 +31,6 @@
 use crocustally_net::sleep;
 use crocustally_net::timeout;
 use crocustally_wire::BlockedParts;
-use crocustally_wire::CrashReport;
 use crocustally_wire::LiftRequest;
 use crocustally_wire::POLICY_BYTES_MAX;
 use crocustally_wire::RankOrders;
@@ -48,11 +47,12 @@
 use crate::coordinator;
 use crate::coordinator::Coordinator;
 use crate::coordinator::PollReply;
+use crate::crash_reports::CrashReports;
 use crate::soft_state::SoftState;
 use crate::soft_state::replicated_part;
 
-/// Time for a crash report to be committed, after which the gateway turns to another instance.
-const CRASH_REPORT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time for the lift of a refusal to be committed, after which the operator tries another instance.
+const LIFT_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Interval between batched updates to subscribers. Gateways route by the load of ranks, so it has
 /// to stay short.
 const FLUSH_PERIOD: Duration = Duration::from_millis(100);
@@ -76,6 +76,7 @@
     pub(crate) dialect: Arc<dyn ControlDialect>,
     state_machine: RwLock<Arc<StateMachine>>,
     soft_state: Mutex<SoftState>,
+    pub(crate) crash_reports: CrashReports,
     coordinator: Mutex<Coordinator>,
     /// Used by the leader only.
     delegation: Mutex<Delegation>,
@@ -112,6 +113,7 @@
             dialect,
             state_machine: RwLock::new(Arc::new(StateMachine::default())),
             soft_state: Mutex::new(SoftState::default()),
+            crash_reports: CrashReports::default(),
             coordinator: Mutex::new(Coordinator::new(cfg.copy_time)),
             delegation: Mutex::new(Delegation::default()),
             policy: RwLock::new(None),
@@ -119,6 +121,8 @@
         });
         rt.spawn(control.clone().watch_log(state_machines));
         rt.spawn(control.clone().flush_loop(rt.clone()));
+        let reports = control.clone();
+        rt.spawn(async move { reports.commit_crash_reports().await });
         let stopping = (control.clone(), shutdown.clone());
         rt.spawn(async move {
             stopping.1.wait().await;
@@ -145,26 +149,10 @@
         self.state_machine().last_applied() > 0
     }
 
-    /// Adds what a gateway has seen of crashing prompts to the replicated evidence.
-    ///
-    /// # Errors
-    ///
-    /// Fails if it is not committed in time; the report may be sent again.
-    pub(crate) async fn record_crash_report(&self, report: CrashReport) -> Result<(), Code> {
-        let mut report = CrashReport { at_ms: self.clock.unix_ms(), ..report };
-        // Many gateways report the same part as sound; one of them is enough.
-        let machine = self.state_machine();
-        report.sound.retain(|sound| machine.crash_evidence().suspects_any(sound));
-        if report.ends.is_empty() && report.sound.is_empty() {
-            return Ok(());
-        }
-        self.log.propose(Kind::CrashReport(report), CRASH_REPORT_TIMEOUT).await.map(|_| ())
-    }
-
     /// Lifts the refusal of a part of prompts; returns the code for the operator.
     pub(crate) async fn lift(&self, lift: LiftRequest) -> Code {
         let (service, part) = (lift.service.clone(), PromptPart(lift.part));
-        let outcome = self.log.propose(Kind::Lift(lift), CRASH_REPORT_TIMEOUT).await;
+        let outcome = self.log.propose(Kind::Lift(lift), LIFT_TIMEOUT).await;
         let part = part.to_string();
         log::info!(
             service = service.as_str(), part = part.as_str(), committed = outcome.is_ok();
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,6 +11,7 @@
 mod calls;
 mod control;
 mod coordinator;
+mod crash_reports;
 mod dialect;
 mod settings;
 mod soft_state;
