A blocked part of prompts gets a few trials

Now a gateway that refuses a blocked part asks a control instance at most every ten seconds whether a trial is due; the log grants one request, 60 s after the block, then 8 and 64 min later, three at most, since each may cost an endpoint. The request that gave the occasion is refused at once as any other; the next one may use the grant. A sound answer lifts the block.

--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -14,6 +14,8 @@
 use crocustally_wire::RankOrders;
 use crocustally_wire::RankReport;
 use crocustally_wire::SuspectParts;
+use crocustally_wire::TrialReply;
+use crocustally_wire::TrialRequest;
 use crocustally_wire::Update;
 use crocustally_wire::control_server::Control as ControlCalls;
 use futures_lite::Stream;
@@ -90,6 +92,11 @@
         Ok(Response::new(self.control.state_machine().crash_evidence().suspect_parts()))
     }
 
+    async fn trial(&self, req: Request<TrialRequest>) -> Result<Response<TrialReply>, Status> {
+        let granted = self.control.trial(req.into_inner()).await;
+        Ok(Response::new(TrialReply { granted }))
+    }
+
     async fn lift(&self, req: Request<LiftRequest>) -> Result<Response<LiftReply>, Status> {
         let code = self.control.lift(req.into_inner()).await;
         Ok(Response::new(LiftReply { code: u32::from(code.number()) }))
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -35,9 +35,11 @@
 use crocustally_wire::POLICY_BYTES_MAX;
 use crocustally_wire::RankOrders;
 use crocustally_wire::RankReport;
+use crocustally_wire::TrialRequest;
 use crocustally_wire::Update;
 use crocustally_wire::command::Kind;
 use crocustally_wire::control_server::ControlServer;
+use crocustally_wire::outcome::Kind as OutcomeKind;
 use crocustally_wire::replica_server::ReplicaServer;
 
 use crate::ControlDialect;
@@ -161,6 +163,23 @@
         outcome.map_or_else(|code| code, |_| Code::Ok)
     }
 
+    /// Grants a gateway one request with blocked parts if a trial is due.
+    pub(crate) async fn trial(&self, trial: TrialRequest) -> bool {
+        let trial = TrialRequest { at_ms: self.clock.unix_ms(), ..trial };
+        if !self.state_machine().crash_evidence().trial_due(&trial) {
+            return false;
+        }
+        let parts: Vec<String> = trial.parts.iter().map(|p| PromptPart(*p).to_string()).collect();
+        let service = trial.service.clone();
+        let outcome = self.log.propose(Kind::Trial(trial), LIFT_TIMEOUT).await;
+        let granted = matches!(outcome.map(|o| o.kind), Ok(Some(OutcomeKind::Done(true))));
+        log::info!(
+            service = service.as_str(), parts = parts.join(",").as_str(), granted = granted;
+            "trial of blocked parts of prompts"
+        );
+        granted
+    }
+
     /// Applies changed settings. Only new seeds take effect without a restart.
     pub fn reload(&self, cfg: &ControlSettings) {
         for p in cfg.log_settings().peers {
--- a/crates/core/src/control/crash_evidence.rs
+++ b/crates/core/src/control/crash_evidence.rs
@@ -12,6 +12,7 @@
 use crocustally_wire::ServiceParts;
 use crocustally_wire::ServiceSuspects;
 use crocustally_wire::SuspectParts;
+use crocustally_wire::TrialRequest;
 use smallvec::SmallVec;
 
 use super::PromptPart;
@@ -31,6 +32,13 @@
 /// Suspect parts that gateways watch for sound answers, for each service.
 const PARTS_WATCHED: usize = 512;
 
+/// Time in milliseconds from a block to its first trial; each further interval is
+/// [`TRIAL_INTERVAL_FACTOR`] times as long.
+pub const FIRST_TRIAL_AFTER_MS: u64 = 60_000;
+const TRIAL_INTERVAL_FACTOR: u64 = 8;
+/// Trials of a block, after which only an operator lifts it. Each may cost an endpoint.
+pub const TRIALS_MAX: u32 = 3;
+
 /// Short list of parts.
 type Parts = SmallVec<[PromptPart; 4]>;
 
@@ -83,6 +91,7 @@
     parts: Parts,
     since_ms: u64,
     endpoints: Vec<String>,
+    trials: u32,
 }
 
 impl CrashEvidence {
@@ -108,6 +117,23 @@
         blocked
     }
 
+    /// Whether a trial of a block is due: one request with its parts, which lifts the refusal if its
+    /// answer turns out sound.
+    pub fn trial_due(&self, trial: &TrialRequest) -> bool {
+        let Some(evidence) = self.services.get(&trial.service) else { return false };
+        evidence.blocks.iter().any(|b| b.is(&trial.parts) && b.trial_due(trial.at_ms))
+    }
+
+    /// Grants a trial if it is due.
+    pub fn grant_trial(&mut self, trial: &TrialRequest) -> bool {
+        let due = self.trial_due(trial);
+        if let (true, Some(evidence)) = (due, self.services.get_mut(&trial.service)) {
+            let blocks = evidence.blocks.iter_mut();
+            blocks.filter(|b| b.is(&trial.parts)).for_each(|b| b.trials += 1);
+        }
+        due
+    }
+
     /// Whether a part of these is suspected or blocked.
     pub fn suspects_any(&self, sound: &ServiceParts) -> bool {
         self.services
@@ -277,7 +303,7 @@
             for number in ends {
                 self.explain(number, &parts);
             }
-            self.blocks.push_back(Block { parts, since_ms: at_ms, endpoints });
+            self.blocks.push_back(Block { parts, since_ms: at_ms, endpoints, trials: 0 });
         }
     }
 
@@ -356,6 +382,7 @@
             parts: to_parts(b.parts),
             since_ms: b.since_ms,
             endpoints: b.endpoints,
+            trials: b.trials,
         };
         Self {
             ends: state.ends.into_iter().map(end).collect(),
@@ -378,6 +405,17 @@
             parts: self.parts.iter().map(|p| p.0).collect(),
             since_ms: self.since_ms,
             endpoints: self.endpoints.clone(),
+            trials: self.trials,
         }
     }
+
+    fn is(&self, parts: &[u64]) -> bool {
+        self.parts.iter().map(|p| p.0).eq(parts.iter().copied())
+    }
+
+    fn trial_due(&self, at_ms: u64) -> bool {
+        let after_ms: u64 =
+            (0..=self.trials).map(|n| FIRST_TRIAL_AFTER_MS * TRIAL_INTERVAL_FACTOR.pow(n)).sum();
+        self.trials < TRIALS_MAX && at_ms >= self.since_ms.saturating_add(after_ms)
+    }
 }
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -16,6 +16,8 @@
 pub use config::Decision;
 pub use crash_evidence::CrashEvidence;
 pub use crash_evidence::ENDS_BEFORE_BLOCK;
+pub use crash_evidence::FIRST_TRIAL_AFTER_MS;
+pub use crash_evidence::TRIALS_MAX;
 pub use part_filter::PartFilter;
 pub use prompt_part::PromptPart;
 pub use state_machine::MalformedState;
--- a/crates/core/src/control/state_machine.rs
+++ b/crates/core/src/control/state_machine.rs
@@ -93,6 +93,9 @@
                 let evidence = Arc::make_mut(&mut self.crash_evidence);
                 OutcomeKind::Done(evidence.lift(&lift.service, PromptPart(lift.part)))
             }
+            Some(Kind::Trial(trial)) => {
+                OutcomeKind::Done(Arc::make_mut(&mut self.crash_evidence).grant_trial(&trial))
+            }
             Some(Kind::ReadPolicy(_)) => OutcomeKind::Policy(self.policy.clone()),
             None => OutcomeKind::Done(false),
         };
--- a/crates/core/tests/crash_evidence.rs
+++ b/crates/core/tests/crash_evidence.rs
@@ -7,11 +7,14 @@
 
 use crocustally_core::control::CrashEvidence;
 use crocustally_core::control::ENDS_BEFORE_BLOCK;
+use crocustally_core::control::FIRST_TRIAL_AFTER_MS;
 use crocustally_core::control::PartFilter;
 use crocustally_core::control::PromptPart;
+use crocustally_core::control::TRIALS_MAX;
 use crocustally_wire::EndpointEnd;
 use crocustally_wire::PromptParts;
 use crocustally_wire::ServiceParts;
+use crocustally_wire::TrialRequest;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -177,6 +180,28 @@
     assert!(refuses(&evidence, &[7]));
 }
 
+/// Guards against a sound part that is refused for ever, and against trials that cost endpoints without
+/// end.
+#[test]
+fn blocked_part_gets_a_few_trials() {
+    let mut evidence = CrashEvidence::default();
+    record(&mut evidence, 0, &[&[&[7, 1]], &[&[7, 2]], &[&[7, 3]]]);
+    let trial = |at_ms| TrialRequest { service: SERVICE.to_owned(), parts: vec![7], at_ms };
+    let blocked_at = 4000;
+    assert!(!evidence.grant_trial(&trial(blocked_at + FIRST_TRIAL_AFTER_MS - 1)));
+    assert!(evidence.grant_trial(&trial(blocked_at + FIRST_TRIAL_AFTER_MS)));
+    assert!(!evidence.grant_trial(&trial(blocked_at + FIRST_TRIAL_AFTER_MS)), "granted twice");
+    let mut sound_later = evidence.clone();
+    // It crashes another endpoint: still blocked, and the next trial is longer off.
+    record(&mut evidence, 70_000, &[&[&[7, 9]]]);
+    assert!(refuses(&evidence, &[7]));
+    let mut evidence = CrashEvidence::import(evidence.export());
+    let granted = (1..100_000).filter(|s| evidence.grant_trial(&trial(s * 1000))).count();
+    assert_eq!(granted + 1, TRIALS_MAX as usize);
+    sound_later.record_sound(&sound(&[7]));
+    assert!(!refuses(&sound_later, &[7]));
+}
+
 /// Guards against tables that grow, or from which callers can push out what is known.
 #[test]
 fn evidence_is_bounded_and_a_flood_of_parts_pushes_out_no_block() {
--- a/crates/gateway/src/endpoint_ends.rs
+++ b/crates/gateway/src/endpoint_ends.rs
@@ -26,6 +26,7 @@
 use crocustally_wire::GatewayNotice;
 use crocustally_wire::PromptParts;
 use crocustally_wire::ServiceParts;
+use crocustally_wire::TrialRequest;
 use crocustally_wire::control_client::ControlClient;
 use event_listener::Event;
 use futures_lite::future;
@@ -64,6 +65,9 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Pause before reports are sent again that no control instance has taken.
 const REPORT_RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Interval between two questions of a gateway whether a trial is due; also the time for which a grant
+/// can be used.
+const TRIAL_ASK_INTERVAL: Duration = Duration::from_secs(10);
 /// Ends that may wait to be reported; further ones are dropped.
 const ENDS_PENDING_MAX: usize = 1024;
 
@@ -105,6 +109,16 @@
     requests: Vec<Suspicion>,
 }
 
+/// A question whether a trial is due, and its answer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Trial {
+    asked_at: Instant,
+    granted: bool,
+}
+
+/// Questions for trials by service and blocked parts.
+pub(crate) type Trials = HashMap<(String, Parts), Trial>;
+
 /// Ends and sound parts that are to be reported.
 #[derive(Debug, Default)]
 pub(crate) struct CrashReports {
@@ -313,6 +327,46 @@
     reports.changed.notify(1);
 }
 
+/// Asks in the background whether a request with blocked parts may be sent as a trial. The request that
+/// gave the occasion is refused; the next one may use the grant.
+pub(crate) fn ask_for_trial(gateway: &Arc<Gateway>, service: &str, parts: &[PromptPart]) {
+    let now = gateway.clock.now();
+    let key = (service.to_owned(), Parts::from_slice(parts));
+    {
+        let mut trials = gateway.trials.lock().unwrap_or_else(PoisonError::into_inner);
+        trials.retain(|_, t| now.saturating_duration_since(t.asked_at) < TRIAL_ASK_INTERVAL);
+        if trials.contains_key(&key) {
+            return;
+        }
+        trials.insert(key.clone(), Trial { asked_at: now, granted: false });
+    }
+    let gateway = gateway.clone();
+    gateway.rt.clone().spawn(async move {
+        let req = TrialRequest {
+            service: key.0.clone(),
+            parts: key.1.iter().map(|p| p.0).collect(),
+            at_ms: 0,
+        };
+        for (_, mut client) in control_clients(&gateway) {
+            let Some(Ok(reply)) = timeout(REPORT_TIMEOUT, client.trial(req.clone())).await else {
+                continue;
+            };
+            let mut trials = gateway.trials.lock().unwrap_or_else(PoisonError::into_inner);
+            if let Some(trial) = trials.get_mut(&key) {
+                trial.granted = reply.into_inner().granted;
+            }
+            return;
+        }
+    });
+}
+
+/// Uses up the grant of a trial, if there is one.
+pub(crate) fn take_trial(gateway: &Gateway, service: &str, parts: &[PromptPart]) -> bool {
+    let key = (service.to_owned(), Parts::from_slice(parts));
+    let mut trials = gateway.trials.lock().unwrap_or_else(PoisonError::into_inner);
+    trials.get_mut(&key).is_some_and(|t| std::mem::take(&mut t.granted))
+}
+
 /// Sends pending reports until a control instance has taken them.
 pub(crate) async fn report_loop(gateway: Arc<Gateway>) {
     let reports = &gateway.crash_reports;
@@ -358,19 +412,13 @@
     CrashReport { ends: ends.iter().map(end).collect(), sound: sound.collect(), at_ms: 0 }
 }
 
-/// Sends a report to one control instance after another; returns whether one has taken it. Each
-/// gateway starts with another instance.
+/// Sends a report to one control instance after another; returns whether one has taken it.
 async fn send_report(
     gateway: &Gateway,
     ends: &[NoticedEnd],
     sound: &BTreeMap<String, BTreeSet<PromptPart>>,
 ) -> bool {
-    let mut clients: Vec<(SocketAddr, ControlClient<Channel>)> =
-        gateway.fleet().control_clients.iter().map(|(a, c)| (*a, c.clone())).collect();
-    clients.sort_by_cached_key(|(address, _)| {
-        Digest::of(&[gateway.cfg.name.as_bytes(), address.to_string().as_bytes()])
-    });
-    for (address, mut client) in clients {
+    for (address, mut client) in control_clients(gateway) {
         let notice = GatewayNotice {
             name: gateway.cfg.name.clone(),
             report: Some(report(gateway.clock.now(), ends, sound)),
@@ -385,6 +433,16 @@
     false
 }
 
+/// Clients of the control instances; each gateway starts with another one, so that all carry a part.
+fn control_clients(gateway: &Gateway) -> Vec<(SocketAddr, ControlClient<Channel>)> {
+    let mut clients: Vec<_> =
+        gateway.fleet().control_clients.iter().map(|(a, c)| (*a, c.clone())).collect();
+    clients.sort_by_cached_key(|(address, _)| {
+        Digest::of(&[gateway.cfg.name.as_bytes(), address.to_string().as_bytes()])
+    });
+    clients
+}
+
 /// Parts of several requests, for a log line.
 fn parts_text(requests: &[Suspicion]) -> String {
     let request =
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -23,6 +23,7 @@
 
 use crate::Gateway;
 use crate::RequestHead;
+use crate::endpoint_ends;
 use crate::endpoint_ends::InFlight;
 use crate::slots::Slot;
 use crate::slots::SlotPool;
@@ -63,6 +64,8 @@
     /// When the response is due at the caller.
     pub(crate) deadline: Instant,
     pub(crate) tried: SmallVec<[MemberKey; 2]>,
+    /// Whether the request is a trial of blocked parts.
+    pub(crate) is_trial: bool,
     /// What became of the sends so far.
     pub(crate) earlier: EarlierSends,
     /// Number of sends that reached no endpoint.
@@ -156,16 +159,25 @@
         Ok(slot)
     }
 
-    /// Refuses a request whose prompt has a part that crashes endpoints.
-    fn check_blocked_parts(&self) -> Result<(), Refusal> {
-        if self.meta.shared_parts.is_empty() {
+    /// Refuses a request whose prompt has a part that crashes endpoints, unless it is a trial.
+    fn check_blocked_parts(&mut self) -> Result<(), Refusal> {
+        if self.meta.shared_parts.is_empty() || self.is_trial {
             return Ok(());
         }
+        let service = &self.access_log.service;
         let fleet = self.gateway.fleet();
-        match fleet.part_filter.blocked(&self.access_log.service, &self.meta.shared_parts) {
-            None => Ok(()),
-            Some(_) => Err(Refusal { code: Code::PromptBlocked, retry_after: Duration::ZERO }),
+        let Some(blocked) = fleet.part_filter.blocked(service, &self.meta.shared_parts) else {
+            return Ok(());
+        };
+        let blocked: SmallVec<[PromptPart; 4]> = SmallVec::from_slice(blocked);
+        drop(fleet);
+        // A trial is one request, and one send of it.
+        if self.tried.is_empty() && endpoint_ends::take_trial(&self.gateway, service, &blocked) {
+            self.is_trial = true;
+            return Ok(());
         }
+        endpoint_ends::ask_for_trial(&self.gateway, service, &blocked);
+        Err(Refusal { code: Code::PromptBlocked, retry_after: Duration::ZERO })
     }
 
     /// Records an attempt that reached no endpoint and releases its slot.
@@ -180,6 +192,7 @@
     /// Records the outcome of an attempt that reached an endpoint and releases its slot.
     pub(crate) fn record_attempt(&mut self, slot: Slot, outcome: RequestOutcome) {
         self.earlier = EarlierSends::Arrived;
+        self.is_trial = false;
         self.end_attempt(slot, outcome);
     }
 
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -143,6 +143,7 @@
         route,
         arrived,
         tried: SmallVec::new(),
+        is_trial: false,
         earlier: EarlierSends::None,
         unopened: 0,
         executions: 0,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -38,6 +38,7 @@
 use crate::GatewaySettings;
 use crate::endpoint_ends;
 use crate::endpoint_ends::CrashReports;
+use crate::endpoint_ends::Trials;
 use crate::feed;
 use crate::frontend;
 use crate::slots::SlotPool;
@@ -119,6 +120,7 @@
     started_at: Instant,
     fleet: Mutex<FleetState>,
     pub(crate) crash_reports: CrashReports,
+    pub(crate) trials: Mutex<Trials>,
     pools: RwLock<HashMap<String, Arc<SlotPool>>>,
     clients: Mutex<HashMap<SocketAddr, Arc<HttpClient>>>,
 }
@@ -150,6 +152,7 @@
             started_at: clock.now(),
             fleet: Mutex::new(FleetState::default()),
             crash_reports: CrashReports::default(),
+            trials: Mutex::new(Trials::default()),
             pools: RwLock::new(HashMap::new()),
             clients: Mutex::new(HashMap::new()),
             clock,
