--- a/crates/daemons/tests/crashing_parts.rs
+++ b/crates/daemons/tests/crashing_parts.rs
@@ -24,6 +24,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -301,8 +303,17 @@
     Err(format!("{line}; logs in {}", d.keep_folder().display()))
 }
 
+/// Held by each test: the deployments of one process share loopback addresses.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+/// Waits until no other test runs; one that failed does not hold up the others.
+fn wait_for_turn() -> MutexGuard<'static, ()> {
+    ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Runs all seeds of `CRASH_SEEDS`, or one for each look of an end.
 fn run_seeds(ends: &[End], crashing_rate: f64) {
+    let _turn = wait_for_turn();
     let seeds = std::env::var("CRASH_SEEDS").map_or(0..ends.len() as u64, |text| {
         match text.split_once("..") {
             Some((from, to)) => from.parse().unwrap()..to.parse().unwrap(),
@@ -348,6 +359,7 @@
 /// processes at once, and of one gateway while a control instance is down.
 #[test]
 fn blocked_part_is_known_after_restarts() {
+    let _turn = wait_for_turn();
     let rt = Runtime::start(2);
     let seed = 102;
     async_io::block_on(async {
@@ -389,6 +401,7 @@
 /// idle, because sends to ended endpoints are taken for retries (found beside the incident BUDGET).
 #[test]
 fn ended_endpoints_cost_no_retry_budget() {
+    let _turn = wait_for_turn();
     let rt = Runtime::start(2);
     let seed = 101;
     // One of the endpoints ends every 0.8 s and is down for a while.
