Gateway: silence is checked for longer than a heartbeat interval; a grant of a trial lapses

An endpoint that is cut off from one gateway only, but heard by the control instances, could be taken for ended, since its check was over after 1.1 s and heartbeats come every 1.2 s; it takes 2.5 s now. A gateway that got a trial and no further request with the part for a while could have used the grant minutes later; it lapses after ten seconds, like the question.

--- a/crates/gateway/src/endpoint_ends.rs
+++ b/crates/gateway/src/endpoint_ends.rs
@@ -54,8 +54,11 @@
     Duration::from_millis(1000),
     Duration::from_millis(1500),
 ];
-/// Pauses between the checks of an endpoint that has been silent during a request.
-const SILENT_CHECK_PAUSES: [Duration; 2] = [Duration::ZERO, Duration::from_millis(300)];
+/// Pauses between the checks of an endpoint that has been silent during a request. Together with the
+/// time-outs of its connections they are longer than the usual interval between two heartbeats, so one
+/// that is only cut off from this gateway is heard meanwhile.
+const SILENT_CHECK_PAUSES: [Duration; 3] =
+    [Duration::ZERO, Duration::from_millis(300), Duration::from_millis(1000)];
 /// Time after an interruption within which a heartbeat from before it may arrive: the interval between
 /// two batches of a control instance, and the way.
 const HEARTBEAT_DELAY: Duration = Duration::from_millis(300);
@@ -364,7 +367,9 @@
 pub(crate) fn take_trial(gateway: &Gateway, service: &str, parts: &[PromptPart]) -> bool {
     let key = (service.to_owned(), Parts::from_slice(parts));
     let mut trials = gateway.trials.lock().unwrap_or_else(PoisonError::into_inner);
-    trials.get_mut(&key).is_some_and(|t| std::mem::take(&mut t.granted))
+    let asked_before = |t: &Trial| gateway.clock.now().saturating_duration_since(t.asked_at);
+    let valid = |t: &&mut Trial| asked_before(t) < TRIAL_ASK_INTERVAL;
+    trials.get_mut(&key).filter(valid).is_some_and(|t| std::mem::take(&mut t.granted))
 }
 
 /// Sends pending reports until a control instance has taken them.
