Crash evidence: blocking settles, whatever the evidence

Now a block removes only those that it makes superfluous, and while there are 256 no more are added, which also keeps what is known.

Test any_evidence_settles_and_blocks_are_bounded: random evidence and 300 crashing parts.

--- a/crates/core/src/control/crash_evidence.rs
+++ b/crates/core/src/control/crash_evidence.rs
@@ -27,8 +27,9 @@
 const ENDS_RETAINED: usize = 1024;
 /// Suspect parts retained for each service; those with the fewest ends are dropped first.
 const PARTS_RETAINED: usize = 4096;
-/// Blocks retained for each service; the oldest is dropped first. Each has cost three endpoints.
-const BLOCKS_RETAINED: usize = 256;
+/// Blocks of each service. Each has cost three endpoints; while there are as many, no more are added, so
+/// that nobody can push out what is known.
+const BLOCKS_MAX: usize = 256;
 /// Suspect parts that gateways watch for sound answers, for each service.
 const PARTS_WATCHED: usize = 512;
 
@@ -63,7 +64,7 @@
     /// Number of reports, which orders parts by age.
     reports: u64,
     suspects: BTreeMap<PromptPart, Suspect>,
-    blocks: VecDeque<Block>,
+    blocks: Vec<Block>,
 }
 
 /// End of one incarnation of an endpoint.
@@ -108,7 +109,7 @@
         }
     }
 
-    /// Lifts the refusal of a part; it is blocked again after as many episodes as any other. Returns
+    /// Lifts the refusal of a part; it is blocked again after as many ends as any other. Returns
     /// whether it was refused.
     pub fn lift(&mut self, service: &str, part: PromptPart) -> bool {
         let Some(evidence) = self.services.get_mut(service) else { return false };
@@ -289,21 +290,20 @@
     /// Blocks the parts that the evidence suffices for, those with the most ends first.
     fn update_blocks(&mut self, at_ms: u64) {
         while let Some((part, parts)) = self.next_block() {
-            let ends: BTreeSet<u64> = self
-                .suspects
-                .get(&part)
-                .map(|s| s.ends.keys().copied().collect())
-                .unwrap_or_default();
+            let suspect = self.suspects.get(&part);
+            let ends: BTreeSet<u64> =
+                suspect.map(|s| s.ends.keys().copied().collect()).unwrap_or_default();
             let under = self.ends.iter().filter(|e| ends.contains(&e.number));
             let endpoints = under.map(|e| e.endpoint.clone()).collect();
-            self.blocks.retain(|b| !b.parts.contains(&part));
-            if self.blocks.len() >= BLOCKS_RETAINED {
-                self.blocks.pop_front();
+            // Only blocks that the new one makes superfluous are removed, so the loop ends.
+            self.blocks.retain(|b| !parts.iter().all(|p| b.parts.contains(p)));
+            if self.blocks.len() >= BLOCKS_MAX {
+                return;
             }
             for number in ends {
                 self.explain(number, &parts);
             }
-            self.blocks.push_back(Block { parts, since_ms: at_ms, endpoints, trials: 0 });
+            self.blocks.push(Block { parts, since_ms: at_ms, endpoints, trials: 0 });
         }
     }
 
--- a/crates/core/tests/crash_evidence.rs
+++ b/crates/core/tests/crash_evidence.rs
@@ -225,6 +225,34 @@
     assert!(largest <= 512 + 2, "{largest} parts are sent to each gateway");
 }
 
+/// Guards against evidence that never settles: whatever parts come together, in whatever order.
+#[test]
+fn any_evidence_settles_and_blocks_are_bounded() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    for _ in 0..30 {
+        let mut evidence = CrashEvidence::default();
+        let parts = rng.random_range(2..8);
+        for n in 0..80_u64 {
+            let requests: Vec<Vec<u64>> = (0..rng.random_range(1..4))
+                .map(|_| (0..parts).filter(|_| rng.random_bool(0.5)).collect())
+                .collect();
+            let requests: Vec<&[u64]> = requests.iter().map(Vec::as_slice).collect();
+            evidence.record_end(n * 2000, &end(&format!("e{n}"), n, &requests));
+            if rng.random_bool(0.2) {
+                evidence.record_sound(&sound(&[rng.random_range(0..parts)]));
+            }
+        }
+    }
+    // More crashing parts than blocks: the first ones stay blocked.
+    let mut evidence = CrashEvidence::default();
+    for part in 0..300 {
+        let at = part * 10_000;
+        record(&mut evidence, at, &[&[&[part]], &[&[part]], &[&[part]]]);
+    }
+    assert!(refuses(&evidence, &[0]) && refuses(&evidence, &[255]));
+    assert_eq!(evidence.export()[0].blocked.len(), 256);
+}
+
 /// A model of a fleet: requests arrive at gateways, run at endpoints for a while, and end with them.
 struct Fleet {
     rng: ChaCha8Rng,
