--- a/crates/core/tests/crash_evidence.rs
+++ b/crates/core/tests/crash_evidence.rs
@@ -15,6 +15,7 @@
 use crocustally_wire::PromptParts;
 use crocustally_wire::ServiceParts;
 use crocustally_wire::TrialRequest;
+use prost::Message;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -221,6 +222,11 @@
     record(&mut evidence, 9_000_000, &[&[&[8, 6]], &[&[8, 9]]]);
     assert!(refuses(&evidence, &[8]), "a part with two ends was pushed out");
     let state = &evidence.export()[0];
+    println!(
+        "flood: {} bytes in a snapshot, {} bytes to a gateway",
+        state.encoded_len(),
+        evidence.suspect_parts().encoded_len()
+    );
     assert!(state.parts.len() <= 4096 && state.ends.len() <= 1024);
     assert!(largest <= 512 + 2, "{largest} parts are sent to each gateway");
 }
