--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -1,4 +1,5 @@
-//! The replicated state machine: configuration, claims and suspects.
+//! The replicated state machine: configuration, claims, suspects, and the evidence on parts of prompts
+//! that crash endpoints.
 
 mod claims;
 mod config;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,7 +5,8 @@
 //!
 //! * [`routing`]: how an entry instance chooses endpoints: queues, limits and retry budget.
 //! * [`agent`]: admission and the at-most-once record at each endpoint's agent.
-//! * [`control`]: the replicated state machine: tickets, claims and suspects.
+//! * [`control`]: the replicated state machine: tickets, claims and suspects, and which parts of
+//!   prompts crash endpoints.
 //! * [`experts`]: expert maps: placement, and switching to a new map at the same step everywhere.
 //! * [`traffic`]: validated routes, services and workspaces of a gateway.
 //! * [`fleet`]: discovery of endpoints from their heartbeats.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -72,7 +72,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct FleetState {
     pub(crate) registry: Registry,
-    /// Raft log index of `evacuated`.
+    /// Raft log index of `evacuated` and `part_filter`.
     pub(crate) applied_index: u64,
     pub(crate) evacuated: BTreeSet<String>,
     /// When each other gateway was last listed by a control instance, by its identity.
@@ -82,7 +82,7 @@
     /// Whether a complete list of the gateways has arrived.
     pub(crate) gateways_complete: bool,
     pub(crate) crash_tracker: CrashTracker,
-    /// Log index of `part_filter` is `applied_index`.
+    /// Parts of prompts that are watched and refused, as of `applied_index`.
     pub(crate) part_filter: PartFilter,
     /// Clients of the control instances that the gateway follows.
     pub(crate) control_clients: HashMap<SocketAddr, ControlClient<Channel>>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,8 @@
 //! ```text
 //! frontend (decode, authorize, route) -> unary  (single responses)          -> slots -> upstream
 //!                                     -> stream (numbered events, resumable)
-//! feed (policy, evacuations, heartbeats, rank load) -> Gateway -> slot pools
+//! feed (policy, evacuations, heartbeats, rank load, blocked parts of prompts) -> Gateway -> slot pools
+//! slots -> endpoint_ends (which prompts crash endpoints) -> control instances
 //! ```
 //!
 //! [`Gateway`] is one gateway instance. [`GatewayDialect`] decodes the messages of callers and
