Gateway: a body in small chunks costs no more memory than its length

Cause: the parts of a body were kept as they came until its end, and a chunk of four bytes costs a handle of its own and holds its read buffer; the limit of 8 MiB counts the bytes only. The body is copied into one buffer now.

--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use crocustally_core::dispatch::RequestOutcome;
 use crocustally_net::HttpClient;
 use crocustally_net::HttpConnection;
@@ -13,7 +14,6 @@
 use crocustally_net::timeout;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::body::Body;
 use hyper::body::Incoming;
@@ -183,5 +183,14 @@
 
 /// Reads the complete body; `None` if the connection broke or the body is longer than `limit` bytes.
 pub(crate) async fn collect_body(body: &mut Incoming, limit: usize) -> Option<Bytes> {
-    Limited::new(body, limit).collect().await.ok().map(|b| b.to_bytes())
+    // Copied, since each small chunk that is kept costs many times its length.
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.ok()?.into_data() else { continue };
+        if collected.len() + data.len() > limit {
+            return None;
+        }
+        collected.extend_from_slice(&data);
+    }
+    Some(collected.freeze())
 }
