Tests: the crashing endpoint's stand-in speaks the platform's words in platform/tests

Two test files outside platform/ named headers of the platform's wire; the stand-in and the prompt's header are beside the other stand-ins now.

--- a/crates/daemons/tests/crashing_parts.rs
+++ b/crates/daemons/tests/crashing_parts.rs
@@ -12,7 +12,7 @@
 mod calls;
 #[path = "soak/deployment.rs"]
 mod deployment;
-#[path = "crashing_parts/endpoint.rs"]
+#[path = "../../../platform/tests/common/crashing_endpoint.rs"]
 mod endpoint;
 #[path = "soak/operator.rs"]
 mod operator;
@@ -42,6 +42,7 @@
 
 use calls::CallerResponse;
 use calls::caller_request;
+use calls::with_prompt;
 use deployment::CONTROLS;
 use deployment::DOMAINS;
 use deployment::Deployment;
@@ -151,9 +152,8 @@
         let at = Instant::now();
         self.rt.spawn(async move {
             let client = HttpClient::new(&rt, to);
-            let mut req =
-                caller_request(&format!("/stream/{id}"), &id, DEADLINE_MS, Some("k"), &id);
-            req.headers_mut().insert("prompt-prefix", prefix.parse().unwrap());
+            let req = caller_request(&format!("/stream/{id}"), &id, DEADLINE_MS, Some("k"), &id);
+            let req = with_prompt(req, &prefix);
             let call = async {
                 let (response, _conn) = client.send(req, true).await.ok()?;
                 Some(CallerResponse::read(response).await)
