Gateway: log the framing of a response, and where and why it broke off

The end line of a request now names the framing of its last response, and a response that breaks off leaves a line with its framing, last event and incomplete bytes, and a counter.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -15,6 +15,7 @@
 use crocustally_core::dispatch::Refusal;
 use crocustally_core::dispatch::RequestOutcome;
 use crocustally_core::traffic::Route;
+use crocustally_net::BodyFraming;
 use crocustally_net::RequestGuard;
 use crocustally_net::ResponseBody;
 use hyper::Response;
@@ -255,6 +256,8 @@
     pub(crate) retry_after: Option<Duration>,
     /// Shared parts of the prompt.
     pub(crate) parts: SmallVec<[PromptPart; 4]>,
+    /// What ended the body of the response that was delivered.
+    pub(crate) framing: Option<BodyFraming>,
     /// Whether the response was delivered completely.
     pub(crate) complete: bool,
 }
@@ -300,6 +303,7 @@
             took_ms = ms(took),
             events = self.events,
             tries = tries.join(", ").as_str(),
+            framing = self.framing.map(BodyFraming::as_str),
             retry_after_ms = self.retry_after.map(ms),
             parts = parts.join(",").as_str(),
             in_flight = in_flight,
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -129,6 +129,7 @@
             code: None,
             retry_after: None,
             parts: meta.shared_parts.clone(),
+            framing: None,
             complete: false,
         },
         priority: priority.unwrap_or(route.priority),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -9,6 +9,7 @@
 use crocustally_core::Code;
 use crocustally_core::dispatch::Refusal;
 use crocustally_core::dispatch::RequestOutcome;
+use crocustally_net::BodyFraming;
 use crocustally_net::ResponseBody;
 use crocustally_net::full_body;
 use crocustally_net::sleep;
@@ -25,8 +26,8 @@
 use crate::exchange::Exchange;
 use crate::slots::Slot;
 use crate::upstream;
+use crate::upstream::BodyError;
 use crate::upstream::EndpointResponse;
-use crate::upstream::Framing;
 use crate::upstream::SendOutcome;
 
 /// A stream without an event for this long is abandoned. A group that has lost a rank stalls for
@@ -141,10 +142,7 @@
     slot: Slot,
     mut response: Box<EndpointResponse>,
 ) -> OpenError {
-    let time_left = ex.remaining();
-    let limit = ex.gateway.cfg.response_bytes_max;
-    let body = upstream::collect_body(&mut response.body, limit);
-    let Some(body) = timeout(time_left, body).await.flatten() else {
+    let Ok(body) = upstream::read_body(ex, &slot, &mut response).await else {
         ex.record_attempt(slot, RequestOutcome::Broken);
         return OpenError::Interrupted;
     };
@@ -157,6 +155,7 @@
     *out.status_mut() = response.head.status;
     *out.headers_mut() = ex.gateway.dialect.relay_headers(&response.head);
     ex.access_log.status = response.head.status.as_u16();
+    ex.access_log.framing = Some(response.framing);
     ex.access_log.complete = true;
     response.reuse_connection();
     OpenError::Final(Box::new(out))
@@ -211,24 +210,31 @@
                     source.buf.push(&data);
                 }
             }
-            Some(Some(Err(_))) => return StreamItem::Interrupted(RequestOutcome::Broken),
-            Some(None) => return stream_end(source),
+            Some(Some(Err(e))) => return broken_off(ex, source, &BodyError::Broken(e).to_string()),
+            Some(None) => return stream_end(ex, source),
         }
     }
 }
 
 /// How a body that has ended leaves its stream. One that ends inside an event has been broken off,
 /// unless it has its announced length, and so has one that ends with its connection before any event.
-fn stream_end(source: &mut UpstreamStream) -> StreamItem {
+fn stream_end(ex: &Exchange, source: &mut UpstreamStream) -> StreamItem {
     let framing = source.response.framing;
-    let none_came = framing == Framing::Close && source.buf.last_id().is_none();
-    let inside_event = framing != Framing::Length && source.buf.incomplete_len() > 0;
+    let none_came = framing == BodyFraming::Close && source.buf.last_id().is_none();
+    let inside_event = framing != BodyFraming::Length && source.buf.incomplete_len() > 0;
     if inside_event || none_came {
-        return StreamItem::Interrupted(RequestOutcome::Broken);
+        return broken_off(ex, source, "ended inside an event or before the first one");
     }
     StreamItem::End(source.buf.take_remaining())
 }
 
+fn broken_off(ex: &Exchange, source: &UpstreamStream, cause: &str) -> StreamItem {
+    let (framing, buf) = (source.response.framing, &source.buf);
+    let incomplete = buf.incomplete_len();
+    upstream::log_broken_response(ex, &source.slot, framing, buf.last_id(), incomplete, cause);
+    StreamItem::Interrupted(RequestOutcome::Broken)
+}
+
 /// Builds the response: the head of the first upstream stream, and the events of all of them.
 fn relay(mut ex: Exchange, source: UpstreamStream, first: StreamItem) -> Response<ResponseBody> {
     let head = &source.response.head;
@@ -284,8 +290,9 @@
                 }
                 StreamItem::End(remaining) => {
                     let source = self.source.take()?;
+                    self.ex.access_log.framing = Some(source.response.framing);
                     // A crash may look like the end of a connection that ends its stream.
-                    if source.response.framing != Framing::Close {
+                    if source.response.framing != BodyFraming::Close {
                         endpoint_ends::report_sound(&self.ex);
                     }
                     self.ex.record_attempt(source.slot, RequestOutcome::Whole);
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -7,16 +7,15 @@
 use crocustally_core::dispatch::MemberKey;
 use crocustally_core::dispatch::Refusal;
 use crocustally_core::dispatch::RequestOutcome;
+use crocustally_net::BodyFraming;
 use crocustally_net::ResponseBody;
 use crocustally_net::full_body;
-use crocustally_net::timeout;
 use hyper::Response;
 
 use crate::endpoint_ends;
 use crate::exchange::Exchange;
 use crate::upstream;
 use crate::upstream::EndpointResponse;
-use crate::upstream::Framing;
 use crate::upstream::SendOutcome;
 
 /// `Retry-After` of a request that endpoints have refused.
@@ -59,10 +58,7 @@
                 ex.executions += 1;
                 let mut slot = slot;
                 slot.record_response_start();
-                let time_left = ex.remaining();
-                let limit = ex.gateway.cfg.response_bytes_max;
-                let body = upstream::collect_body(&mut response.body, limit);
-                let Some(body) = timeout(time_left, body).await.flatten() else {
+                let Ok(body) = upstream::read_body(&ex, &slot, &mut response).await else {
                     ex.record_attempt(slot, RequestOutcome::Broken);
                     if ex.can_rerun() && ex.can_send() {
                         continue;
@@ -74,7 +70,7 @@
                     slot,
                     if failed { RequestOutcome::Failed } else { RequestOutcome::Whole },
                 );
-                if response.head.status.is_success() && response.framing != Framing::Close {
+                if response.head.status.is_success() && response.framing != BodyFraming::Close {
                     endpoint_ends::report_sound(&ex);
                 }
                 let retry = failed && ex.can_rerun() && ex.can_send();
@@ -124,6 +120,7 @@
     *out.status_mut() = response.head.status;
     *out.headers_mut() = ex.gateway.dialect.relay_headers(&response.head);
     ex.access_log.status = response.head.status.as_u16();
+    ex.access_log.framing = Some(response.framing);
     ex.access_log.first_byte = Some(ex.now().saturating_duration_since(ex.arrived));
     ex.access_log.complete = true;
     response.reuse_connection();
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use crocustally_core::dispatch::RequestOutcome;
+use crocustally_net::BodyFraming;
 use crocustally_net::HttpClient;
 use crocustally_net::HttpConnection;
 use crocustally_net::HttpError;
@@ -15,9 +16,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
-use hyper::body::Body;
 use hyper::body::Incoming;
-use hyper::header::TRANSFER_ENCODING;
 use hyper::http::response;
 use hyper::http::uri::PathAndQuery;
 
@@ -29,23 +28,12 @@
 /// Share of an endpoint's keep-alive time for which an idle connection is reused.
 const KEEP_ALIVE_SHARE: f64 = 0.7;
 
-/// What ends the body of a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Framing {
-    /// Its announced length.
-    Length,
-    /// Its last chunk.
-    Chunks,
-    /// The end of the connection.
-    Close,
-}
-
 /// An endpoint's response with an unread body.
 pub(crate) struct EndpointResponse {
     pub(crate) head: response::Parts,
     pub(crate) meta: ResponseHead,
     pub(crate) body: Incoming,
-    pub(crate) framing: Framing,
+    pub(crate) framing: BodyFraming,
     client: Arc<HttpClient>,
     conn: HttpConnection,
 }
@@ -58,7 +46,7 @@
 
     /// Returns the connection to the client's pool; the body must have been read to its end.
     pub(crate) fn reuse_connection(self) {
-        if self.meta.closes_connection || self.framing == Framing::Close {
+        if self.meta.closes_connection || self.framing == BodyFraming::Close {
             return;
         }
         match self.meta.keep_alive {
@@ -122,15 +110,9 @@
         }
         Some(Ok(response)) => response,
     };
+    let framing = BodyFraming::of(&response);
     let (head, body) = response.into_parts();
     let meta = ex.gateway.dialect.decode_response(&head);
-    let framing = if body.is_end_stream() || body.size_hint().exact().is_some() {
-        Framing::Length
-    } else if head.headers.contains_key(TRANSFER_ENCODING) {
-        Framing::Chunks
-    } else {
-        Framing::Close
-    };
     let wrong_request = meta.request_id.as_ref().is_some_and(|id| *id != ex.meta.id);
     if wrong_request || meta.content_encoded {
         return SendOutcome::MaybeExecuted(RequestOutcome::Broken);
@@ -148,8 +130,7 @@
 /// Logs why the connection of a request broke: the same outcome may have been caused by the endpoint,
 /// the network or the kernel's time-outs.
 fn log_broken_connection(ex: &Exchange, slot: &Slot, cause: &hyper::Error, idle: Option<Duration>) {
-    let io_error = cause.source().and_then(|e| e.downcast_ref::<io::Error>());
-    let kind = io_error.map(|e| format!("{:?}", e.kind()));
+    let kind = io_error_kind(cause);
     log::warn!(
         id = ex.meta.id.as_str(),
         endpoint = slot.endpoint.as_str(),
@@ -181,16 +162,81 @@
     true
 }
 
-/// Reads the complete body; `None` if the connection broke or the body is longer than `limit` bytes.
-pub(crate) async fn collect_body(body: &mut Incoming, limit: usize) -> Option<Bytes> {
+/// Why the body of a response is not whole.
+#[derive(Debug)]
+pub(crate) enum BodyError {
+    /// The connection broke.
+    Broken(hyper::Error),
+    /// The body is longer than the gateway's limit.
+    TooLong,
+    /// The body was not complete at the deadline.
+    TimedOut,
+}
+
+impl std::fmt::Display for BodyError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Broken(e) => match io_error_kind(e) {
+                Some(kind) => write!(f, "{e} ({kind})"),
+                None => write!(f, "{e}"),
+            },
+            Self::TooLong => f.write_str("longer than the limit"),
+            Self::TimedOut => f.write_str("not complete at the deadline"),
+        }
+    }
+}
+
+fn io_error_kind(e: &hyper::Error) -> Option<String> {
+    let io_error = e.source().and_then(|e| e.downcast_ref::<io::Error>());
+    io_error.map(|e| format!("{:?}", e.kind()))
+}
+
+/// Reads the complete body of a response and logs why, if that fails.
+pub(crate) async fn read_body(
+    ex: &Exchange,
+    slot: &Slot,
+    response: &mut EndpointResponse,
+) -> Result<Bytes, BodyError> {
+    let limit = ex.gateway.cfg.response_bytes_max;
+    let read = timeout(ex.remaining(), collect_body(&mut response.body, limit)).await;
+    let body = read.unwrap_or(Err(BodyError::TimedOut));
+    if let Err(e) = &body {
+        log_broken_response(ex, slot, response.framing, None, 0, &e.to_string());
+    }
+    body
+}
+
+async fn collect_body(body: &mut Incoming, limit: usize) -> Result<Bytes, BodyError> {
     // Copied, since each small chunk that is kept costs many times its length.
     let mut collected = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.ok()?.into_data() else { continue };
+        let Ok(data) = frame.map_err(BodyError::Broken)?.into_data() else { continue };
         if collected.len() + data.len() > limit {
-            return None;
+            return Err(BodyError::TooLong);
         }
         collected.extend_from_slice(&data);
     }
-    Some(collected.freeze())
+    Ok(collected.freeze())
+}
+
+/// Logs where and why a response broke off. `after_event` is the last complete event of a stream,
+/// `incomplete_bytes` the length of what came after it.
+pub(crate) fn log_broken_response(
+    ex: &Exchange,
+    slot: &Slot,
+    framing: BodyFraming,
+    after_event: Option<u64>,
+    incomplete_bytes: usize,
+    cause: &str,
+) {
+    metrics::counter!("crocustally_responses_broken_off", "framing" => framing.as_str())
+        .increment(1);
+    log::warn!(
+        id = ex.meta.id.as_str(),
+        endpoint = slot.endpoint.as_str(),
+        framing = framing.as_str(),
+        after_event = after_event,
+        incomplete_bytes = incomplete_bytes;
+        "response broke off: {cause}"
+    );
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`Clock`]: the time source, injected so that tests control it.
 
 mod admin;
+mod body_framing;
 mod channel;
 mod clock;
 mod coded_io;
@@ -32,6 +33,7 @@
 pub use admin::AdminState;
 pub use admin::serve_admin;
 pub use async_signal::Signals;
+pub use body_framing::BodyFraming;
 pub use channel::Channel;
 pub use channel::ChannelError;
 pub use clock::Clock;
