Gateway: a response that ends with its connection is whole only if its endpoint outlives it

Cause: the end of a connection was trusted as the end of a response, although a kernel closes the connections of a process that ends in the same way. Ruled out as evidence: token counts (an upper bound only), open idle connections (endpoints may drop them without notice), heartbeats (too late).

Fix: after such an end the gateway opens the connection that the next request needs anyway, and takes the response for whole if it is accepted and stays open for 20 ms and no other incarnation has been heard. Otherwise a stream is resumed after its last event, a safe request is repeated, and what may run once fails. The same for an endpoint's own error.

--- a/crates/gateway/src/endpoint_ends.rs
+++ b/crates/gateway/src/endpoint_ends.rs
@@ -83,6 +83,27 @@
     born_ms: u64,
 }
 
+impl Incarnation {
+    fn of(registration: &Registration) -> Self {
+        let beat = &registration.heartbeat;
+        Self { endpoint: beat.id.clone(), born_ms: beat.born_ms }
+    }
+
+    /// Whether another incarnation has been heard at its address or under its id.
+    fn is_replaced(&self, gateway: &Gateway) -> bool {
+        let fleet = gateway.fleet();
+        let registration = fleet.registry.get(&self.endpoint);
+        registration.is_some_and(|r| r.replaced || r.heartbeat.born_ms > self.born_ms)
+    }
+}
+
+/// Whether another incarnation has been heard in place of the member `key`.
+pub(crate) fn is_replaced(ex: &Exchange, key: MemberKey) -> bool {
+    let incarnation =
+        ex.slot_pool.with_pool(|pool| pool.member(key).map(|m| Incarnation::of(&m.registration)));
+    incarnation.is_none_or(|i| i.is_replaced(&ex.gateway))
+}
+
 /// A request in flight at an endpoint, and the shared parts of its prompt.
 pub(crate) struct InFlight {
     gateway: Arc<Gateway>,
@@ -145,7 +166,7 @@
             gateway: ex.gateway.clone(),
             service: ex.access_log.service.clone(),
             parts: ex.meta.shared_parts.clone(),
-            incarnation: Incarnation { endpoint: beat.id.clone(), born_ms: beat.born_ms },
+            incarnation: Incarnation::of(registration),
             domain: beat.domain.clone(),
             address: beat.address,
             digest: ex.digest,
@@ -262,9 +283,7 @@
     }
 
     fn is_replaced(&self) -> bool {
-        let fleet = self.gateway.fleet();
-        let registration = fleet.registry.get(&self.incarnation.endpoint);
-        registration.is_some_and(|r| r.replaced || r.heartbeat.born_ms > self.incarnation.born_ms)
+        self.incarnation.is_replaced(&self.gateway)
     }
 
     /// Whether no heartbeat of the endpoint has come since the interruption, while most of the others
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -211,20 +211,23 @@
                 }
             }
             Some(Some(Err(e))) => return broken_off(ex, source, &BodyError::Broken(e).to_string()),
-            Some(None) => return stream_end(ex, source),
+            Some(None) => return stream_end(ex, source).await,
         }
     }
 }
 
 /// How a body that has ended leaves its stream. One that ends inside an event has been broken off,
 /// unless it has its announced length, and so has one that ends with its connection before any event.
-fn stream_end(ex: &Exchange, source: &mut UpstreamStream) -> StreamItem {
+async fn stream_end(ex: &Exchange, source: &mut UpstreamStream) -> StreamItem {
     let framing = source.response.framing;
     let none_came = framing == BodyFraming::Close && source.buf.last_id().is_none();
     let inside_event = framing != BodyFraming::Length && source.buf.incomplete_len() > 0;
     if inside_event || none_came {
         return broken_off(ex, source, "ended inside an event or before the first one");
     }
+    if !source.response.is_ended_by_endpoint(ex, &source.slot).await {
+        return broken_off(ex, source, &BodyError::EndpointEnded.to_string());
+    }
     StreamItem::End(source.buf.take_remaining())
 }
 
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -9,6 +9,7 @@
 use bytes::BytesMut;
 use crocustally_core::dispatch::RequestOutcome;
 use crocustally_net::BodyFraming;
+use crocustally_net::ConnectionCheck;
 use crocustally_net::HttpClient;
 use crocustally_net::HttpConnection;
 use crocustally_net::HttpError;
@@ -22,12 +23,18 @@
 
 use crate::ForwardHead;
 use crate::ResponseHead;
+use crate::endpoint_ends;
 use crate::exchange::Exchange;
 use crate::slots::Slot;
 
 /// Share of an endpoint's keep-alive time for which an idle connection is reused.
 const KEEP_ALIVE_SHARE: f64 = 0.7;
 
+/// Time for which a new connection has to stay open to show that an endpoint has not ended: an ending
+/// process closes its connections within a few milliseconds, and its successor, if it starts at once,
+/// is heard of.
+const OUTLIVE_TIME: Duration = Duration::from_millis(20);
+
 /// An endpoint's response with an unread body.
 pub(crate) struct EndpointResponse {
     pub(crate) head: response::Parts,
@@ -44,6 +51,16 @@
         self.client.discard_idle();
     }
 
+    /// Whether the end of the body is the end of the response. A process that ends closes its
+    /// connections, and nothing else tells that from a response that ends with its connection.
+    pub(crate) async fn is_ended_by_endpoint(&self, ex: &Exchange, slot: &Slot) -> bool {
+        if self.framing != BodyFraming::Close {
+            return true;
+        }
+        let check = timeout(ex.remaining(), self.client.check_outlives(OUTLIVE_TIME)).await;
+        check == Some(ConnectionCheck::Accepts) && !endpoint_ends::is_replaced(ex, slot.key)
+    }
+
     /// Returns the connection to the client's pool; the body must have been read to its end.
     pub(crate) fn reuse_connection(self) {
         if self.meta.closes_connection || self.framing == BodyFraming::Close {
@@ -171,6 +188,8 @@
     TooLong,
     /// The body was not complete at the deadline.
     TimedOut,
+    /// The body ended with its connection, and the endpoint with it.
+    EndpointEnded,
 }
 
 impl std::fmt::Display for BodyError {
@@ -182,6 +201,7 @@
             },
             Self::TooLong => f.write_str("longer than the limit"),
             Self::TimedOut => f.write_str("not complete at the deadline"),
+            Self::EndpointEnded => f.write_str("the endpoint ended or is unreachable"),
         }
     }
 }
@@ -199,7 +219,10 @@
 ) -> Result<Bytes, BodyError> {
     let limit = ex.gateway.cfg.response_bytes_max;
     let read = timeout(ex.remaining(), collect_body(&mut response.body, limit)).await;
-    let body = read.unwrap_or(Err(BodyError::TimedOut));
+    let mut body = read.unwrap_or(Err(BodyError::TimedOut));
+    if body.is_ok() && !response.is_ended_by_endpoint(ex, slot).await {
+        body = Err(BodyError::EndpointEnded);
+    }
     if let Err(e) = &body {
         log_broken_response(ex, slot, response.framing, None, 0, &e.to_string());
     }
--- a/crates/net/src/http_client.rs
+++ b/crates/net/src/http_client.rs
@@ -21,6 +21,7 @@
 use crate::Runtime;
 use crate::connect::set_ack_timeout;
 use crate::connect::set_reset_on_close;
+use crate::sleep;
 use crate::timeout;
 use crate::yielding_io::YieldingIo;
 
@@ -170,6 +171,26 @@
         }
     }
 
+    /// Checks whether the server outlives a connection that it has just closed: it must accept a
+    /// new one, and keep it open for `time`. The new connection goes to the pool.
+    ///
+    /// A process that ends closes its connections one after the other, and its listener among them,
+    /// so a connection may be accepted once more and then reset. A server with too many connections
+    /// resets new ones as well, but goes on accepting them.
+    pub async fn check_outlives(&self, time: Duration) -> ConnectionCheck {
+        let conn = match self.connect().await {
+            Ok(conn) => conn,
+            Err(HttpError::Refused) => return ConnectionCheck::Refuses,
+            Err(_) => return ConnectionCheck::Silent,
+        };
+        sleep(time).await;
+        if conn.tx.is_closed() {
+            return self.check_connection().await;
+        }
+        self.put_idle(conn);
+        ConnectionCheck::Accepts
+    }
+
     /// Returns a connection to the pool; its response must have been read to the end.
     pub fn put_idle(&self, conn: HttpConnection) {
         self.put_idle_for(conn, self.cfg.idle_timeout);
