HTTP server: a response of HTTP/1.0 that was broken off ends with a reset

Such a connection resets when it is closed until its response is whole, so also when the process is killed. HTTP/1.1 needs nothing: its last chunk is missing. Entry and gateway share this.

--- a/crates/net/src/connect.rs
+++ b/crates/net/src/connect.rs
@@ -59,7 +59,16 @@
 
 /// Makes closing the connection reset it, which discards data that is not yet delivered.
 pub(crate) fn set_reset_on_close(stream: &TcpStream) {
-    if let Err(e) = sockopt::set_socket_linger(stream, Some(Duration::ZERO)) {
+    set_linger(stream, Some(Duration::ZERO));
+}
+
+/// Undoes [`set_reset_on_close`]: closing the connection delivers all data first.
+pub(crate) fn clear_reset_on_close(stream: &TcpStream) {
+    set_linger(stream, None);
+}
+
+fn set_linger(stream: &TcpStream, time: Option<Duration>) {
+    if let Err(e) = sockopt::set_socket_linger(stream, time) {
         log::debug!("cannot set SO_LINGER: {e}");
     }
 }
--- a/crates/net/src/http_server.rs
+++ b/crates/net/src/http_server.rs
@@ -16,6 +16,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::Request;
 use hyper::Response;
+use hyper::Version;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -27,7 +28,9 @@
 use crate::coded_io::CodedIo;
 use crate::coded_io::RUN_HEADER;
 use crate::coded_io::raw_error_response;
+use crate::connect::clear_reset_on_close;
 use crate::connect::set_ack_timeout;
+use crate::connect::set_reset_on_close;
 
 /// The body of a response.
 pub type ResponseBody = UnsyncBoxBody<Bytes, std::io::Error>;
@@ -145,7 +148,13 @@
     set_ack_timeout(&stream, CALLER_ACK_TIMEOUT);
     let mut raw = stream.clone();
     let _guard = shutdown.track_connection();
+    let caller = stream.clone();
     let call = service_fn(move |req: Request<Incoming>| {
+        // A body without a known length ends with its connection for these callers, so only a reset
+        // tells one that was broken off from a whole one; also if this process is killed.
+        if req.version() == Version::HTTP_10 {
+            set_reset_on_close(&caller);
+        }
         let response = handler(req);
         async move { Ok::<_, std::convert::Infallible>(response.await) }
     });
@@ -169,6 +178,9 @@
             serving.as_mut().await
         }
     };
+    if result.is_ok() {
+        clear_reset_on_close(&raw);
+    }
     if limits.coded_errors && result.is_err_and(|e| e.is_timeout()) {
         let _ = raw.write_all(raw_error_response(Code::CallerTooSlow).as_bytes()).await;
         let _ = raw.close().await;
