Gateway: a response without an id answers no request on a kept connection

Reports of other operators: a faulty endpoint writes an earlier response once more on a kept connection. Only the refusal of a request that cannot be read lacks the id by the platform's protocol, and on a connection that has served no other request it can be nobody else's; everything else without an id is now no response to this request, as if the connection had broken. What may run once always had new connections, so it was not affected.

--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -17,6 +17,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::http::uri::PathAndQuery;
@@ -130,15 +131,20 @@
     let framing = BodyFraming::of(&response);
     let (head, body) = response.into_parts();
     let meta = ex.gateway.dialect.decode_response(&head);
-    let wrong_request = meta.request_id.as_ref().is_some_and(|id| *id != ex.meta.id);
-    if wrong_request || meta.content_encoded {
+    // Only a refusal may lack the id, and on a kept connection it may be an earlier request's.
+    let own = match &meta.request_id {
+        Some(id) => *id == ex.meta.id,
+        None => meta.not_executed && conn.is_first_response(),
+    };
+    if !own || meta.content_encoded {
+        log_foreign_response(ex, slot, head.status, meta.request_id.as_deref());
         return SendOutcome::MaybeExecuted(RequestOutcome::Broken);
     }
     if meta.not_executed {
         let response = EndpointResponse { head, meta, body, framing, client, conn };
         return consume_refusal(response).await;
     }
-    if head.status.is_success() && (!meta.signed || meta.request_id.is_none()) {
+    if head.status.is_success() && !meta.signed {
         return SendOutcome::MaybeExecuted(RequestOutcome::Broken);
     }
     SendOutcome::Response(Box::new(EndpointResponse { head, meta, body, framing, client, conn }))
@@ -157,6 +163,16 @@
     );
 }
 
+fn log_foreign_response(ex: &Exchange, slot: &Slot, status: StatusCode, response_id: Option<&str>) {
+    log::warn!(
+        id = ex.meta.id.as_str(),
+        endpoint = slot.endpoint.as_str(),
+        status = status.as_u16(),
+        response_id = response_id;
+        "response is not the one to this request"
+    );
+}
+
 /// Reads a refusal to its end, so that the connection can be reused.
 async fn consume_refusal(mut response: EndpointResponse) -> SendOutcome {
     let outcome =
--- a/crates/net/src/http_client.rs
+++ b/crates/net/src/http_client.rs
@@ -14,6 +14,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use smol_hyper::rt::FuturesIo;
@@ -90,11 +91,30 @@
 #[derive(Debug)]
 pub struct HttpConnection {
     tx: SendRequest<Full<Bytes>>,
+    /// Number of responses that have come over the connection.
+    responses: u64,
     /// Drives the connection. It is cancelled on drop; a detached task would go on sending a
     /// cancelled request.
     _io: Task<()>,
 }
 
+impl HttpConnection {
+    /// Whether the last response was the first one on the connection, so that no earlier response can
+    /// have been taken for it.
+    pub fn is_first_response(&self) -> bool {
+        self.responses == 1
+    }
+
+    async fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        let response = self.tx.try_send_request(req).await?;
+        self.responses += 1;
+        Ok(response)
+    }
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     conn: HttpConnection,
@@ -139,7 +159,7 @@
         let mut req = req;
         if !new_connection {
             while let Some((mut conn, idle)) = self.take_idle() {
-                match conn.tx.try_send_request(req).await {
+                match conn.send(req).await {
                     Ok(response) => return Ok((response, conn)),
                     Err(mut e) => match e.take_message() {
                         // The connection was closed before any byte of the request was written.
@@ -153,7 +173,7 @@
             }
         }
         let mut conn = self.connect().await?;
-        match conn.tx.try_send_request(req).await {
+        match conn.send(req).await {
             Ok(response) => Ok((response, conn)),
             Err(mut e) => match e.take_message() {
                 Some(_) => Err(HttpError::NotSent),
@@ -248,6 +268,6 @@
             let _ = conn.await;
         });
         tx.ready().await.map_err(|_| HttpError::Unreachable)?;
-        Ok(HttpConnection { tx, _io: io })
+        Ok(HttpConnection { tx, responses: 0, _io: io })
     }
 }
