Gateway: a resumed stream that leaves out events is broken off

Ids only have to grow by the protocol, so a gap says nothing by itself; but where all ids of a stream were consecutive so far, the resumed one has to go on with the next. Otherwise it is interrupted and resumed elsewhere, or visibly broken off. Gaps inside one run are the endpoint's own and pass.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 pub use dialect::ResponseHead;
 pub use dialect::SHARED_PARTS_MAX;
 pub use events::EventBuffer;
+pub use events::MissingEvents;
 pub use gateway::Gateway;
 pub use gateway::GatewayAddresses;
 pub use settings::GatewaySettings;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -69,9 +69,9 @@
 
 /// Opens a stream at an endpoint and relays it; other endpoints take over where the route allows.
 pub(crate) async fn serve(mut ex: Exchange) -> Response<ResponseBody> {
-    let last_event_id = ex.meta.last_event_id;
+    let empty = EventBuffer::after(ex.meta.last_event_id);
     loop {
-        let mut source = match open(&mut ex, last_event_id).await {
+        let mut source = match open(&mut ex, &empty).await {
             Ok(source) => source,
             Err(OpenError::Final(response)) => return *response,
             Err(OpenError::Refused(refusal)) => return ex.reject_or_fail(refusal),
@@ -91,13 +91,14 @@
     }
 }
 
-/// Opens a stream, trying one endpoint after another while they refuse.
-async fn open(ex: &mut Exchange, last_event_id: Option<u64>) -> Result<UpstreamStream, OpenError> {
+/// Opens a stream after the last event of `buf`, which is empty, trying one endpoint after another
+/// while they refuse.
+async fn open(ex: &mut Exchange, buf: &EventBuffer) -> Result<UpstreamStream, OpenError> {
     loop {
         let slot = ex.acquire_slot().await.map_err(OpenError::Refused)?;
         let time_limit = ex.remaining().min(SILENCE_TIMEOUT);
         let attempts_left = ex.executions + 1 < ex.route.attempts;
-        let send = upstream::send(ex, &slot, time_limit, last_event_id);
+        let send = upstream::send(ex, &slot, time_limit, buf.last_id());
         let given_up = async {
             if !ex.route.kind.is_retryable() || !attempts_left {
                 future::pending().await
@@ -125,7 +126,7 @@
             }
             SendOutcome::Response(response) if response.head.status.is_success() => {
                 ex.executions += 1;
-                let (buf, last_received) = (EventBuffer::after(last_event_id), ex.now());
+                let (buf, last_received) = (buf.clone(), ex.now());
                 return Ok(UpstreamStream { slot, response, buf, last_received });
             }
             SendOutcome::Response(response) => {
@@ -180,8 +181,12 @@
     loop {
         let mut events = BytesMut::new();
         let mut count = 0;
-        while let Some(event) = source.buf.next_event() {
-            events.extend_from_slice(&event);
+        loop {
+            match source.buf.next_event() {
+                Ok(Some(event)) => events.extend_from_slice(&event),
+                Ok(None) => break,
+                Err(e) => return broken_off(ex, source, &e.to_string()),
+            }
             count += 1;
         }
         if count > 0 {
@@ -329,14 +334,14 @@
     /// failure.
     async fn resume(&mut self, outcome: RequestOutcome) -> bool {
         let Some(source) = self.source.take() else { return false };
-        let last_id = source.buf.last_id();
+        let empty = source.buf.to_resume();
         let interrupted_at = self.ex.now();
         self.ex.record_attempt(source.slot, outcome);
         while self.ex.can_rerun() {
             if self.ex.now().saturating_duration_since(interrupted_at) > RESUME_TIME_MAX {
                 break;
             }
-            match open(&mut self.ex, last_id).await {
+            match open(&mut self.ex, &empty).await {
                 Ok(source) => {
                     self.source = Some(source);
                     self.sound = false;
