Gateway: endpoints that leave, or want nothing for a time, get no requests

A response binds the gateway that got it at once: a member that says it leaves, or wants no requests until a time, is not available. A registration that still says ready changes nothing. The wish for quiet holds for any id at the address, the leave for the same process only (a later start is another one). A wish of more than an hour counts as an hour. An endpoint that has said it leaves is no suspect when it ends. Responses of another endpoint (421) and those that answer another request bind nobody.

--- a/crates/core/src/dispatch/member.rs
+++ b/crates/core/src/dispatch/member.rs
@@ -102,6 +102,10 @@
     pub ejected_until: Option<Instant>,
     /// When no process of the endpoint was found at its address.
     ended_at: Option<Instant>,
+    /// Whether the endpoint has said in a response that it leaves; its heartbeats may be older.
+    leaving: bool,
+    /// End of the time for which the endpoint has asked this gateway for no requests.
+    quiet_until: Option<Instant>,
     latency_ms: Ewma,
     failure_rate: Ewma,
     consecutive_failures: u32,
@@ -124,6 +128,8 @@
             rank_state: None,
             ejected_until: None,
             ended_at: None,
+            leaving: false,
+            quiet_until: None,
             latency_ms: Ewma::default(),
             failure_rate: Ewma::default(),
             consecutive_failures: 0,
@@ -150,9 +156,44 @@
         self.registration.heartbeat.state == HeartbeatState::Ready
             && !self.is_ejected(now)
             && !self.has_ended(now)
+            && !self.leaving
+            && !self.is_quiet(now)
             && open
     }
 
+    /// Records that the endpoint has said that it leaves; returns whether that is new.
+    pub fn record_leaving(&mut self) -> bool {
+        !std::mem::replace(&mut self.leaving, true)
+    }
+
+    /// Whether the endpoint has said in a response that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Records that the endpoint wants no requests until `until`. A shorter wish does not end a longer
+    /// one.
+    pub fn record_quiet(&mut self, until: Instant) {
+        self.quiet_until = self.quiet_until.max(Some(until));
+    }
+
+    /// End of the time for which the endpoint wants no requests, if it has not passed.
+    pub fn quiet_until(&self, now: Instant) -> Option<Instant> {
+        self.quiet_until.filter(|until| now < *until)
+    }
+
+    fn is_quiet(&self, now: Instant) -> bool {
+        self.quiet_until(now).is_some()
+    }
+
+    /// Takes over what the endpoint known before at the same address has said. Its wish for quiet may
+    /// be the machine's; only the same process under another id still leaves.
+    pub fn inherit(&mut self, before: &Self) {
+        self.quiet_until = self.quiet_until.max(before.quiet_until);
+        let born_ms = |m: &Self| m.registration.heartbeat.born_ms;
+        self.leaving |= before.leaving && born_ms(self) == born_ms(before);
+    }
+
     /// Whether the endpoint was found to have ended, and has not been heard since.
     pub fn has_ended(&self, now: Instant) -> bool {
         self.ended_at.is_some_and(|at| {
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -142,6 +142,8 @@
 /// Usual duration of an outage in which no endpoint accepts work: a group stalls, re-forms and
 /// reports it, or a gateway that has just started waits for the first heartbeats.
 const OUTAGE_EXPECTED: Duration = Duration::from_millis(2300);
+/// Longest time without requests that an endpoint can ask for; a longer wish is most likely a mistake.
+const QUIET_TIME_MAX: Duration = Duration::from_secs(3600);
 /// Retry-After while no endpoint accepts work: about the time a group needs to re-form.
 const RETRY_AFTER_OUTAGE: Duration = Duration::from_millis(1200);
 
@@ -240,7 +242,12 @@
         }
         self.next_key += 1;
         let key = MemberKey(self.next_key);
-        self.members.insert(key, Member::new(registration.clone()));
+        let mut member = Member::new(registration.clone());
+        let before = self.by_address.get(&address_key(&registration.heartbeat.address));
+        if let Some(before) = before.and_then(|k| self.members.get(k)) {
+            member.inherit(before);
+        }
+        self.members.insert(key, member);
         self.by_id.insert(id.clone(), key);
         self.by_address.insert(address_key(&registration.heartbeat.address), key);
         self.drop_ended_incarnations();
@@ -279,6 +286,43 @@
         }
     }
 
+    /// Records that a member has said in a response that it leaves; returns whether that is new.
+    pub fn record_leaving(&mut self, key: MemberKey) -> bool {
+        self.members.get_mut(&key).is_some_and(Member::record_leaving)
+    }
+
+    /// Records that a member wants no requests of this gateway for `time`.
+    pub fn record_quiet(&mut self, now: Instant, key: MemberKey, time: Duration) {
+        if let Some(m) = self.members.get_mut(&key) {
+            m.record_quiet(now + time.min(QUIET_TIME_MAX));
+        }
+    }
+
+    /// Refusal of all requests while each endpoint that could serve has said that it leaves or wants
+    /// none: waiting would be in vain. It names the shortest of the times.
+    pub fn pushback(&self, now: Instant) -> Option<Refusal> {
+        if self.any_available(now, &[]) {
+            return None;
+        }
+        let serving = |m: &&Member| {
+            m.registration.heartbeat.state == HeartbeatState::Ready
+                && self.in_service(m)
+                && !m.has_ended(now)
+        };
+        let mut retry_at = None;
+        let mut any = false;
+        for m in self.members.values().filter(serving) {
+            match m.quiet_until(now) {
+                _ if m.is_leaving() => {}
+                Some(until) => retry_at = Some(retry_at.map_or(until, |at: Instant| at.min(until))),
+                None => return None,
+            }
+            any = true;
+        }
+        let retry_after = retry_at.map_or(RETRY_AFTER_OUTAGE, |at| at - now);
+        any.then_some(Refusal { code: Code::EndpointLeaving, retry_after })
+    }
+
     /// Returns a member by its key.
     pub fn member(&self, key: MemberKey) -> Option<&Member> {
         self.members.get(&key)
@@ -325,6 +369,9 @@
             self.assign(now, key, req.prompt_tokens, req.earlier);
             return DispatchDecision::Send(key);
         }
+        if let Some(refusal) = self.pushback(now) {
+            return DispatchDecision::Refuse(refusal);
+        }
         if !self.any_available(now, &req.tried) {
             let outage_start = *self.outage_since.get_or_insert(now);
             let outage_end = outage_start + OUTAGE_EXPECTED;
@@ -408,6 +455,11 @@
             let retry_after = self.next_retry_after(now).max(w.retry_after);
             outcomes.push((w.ticket, Err(Refusal { code: Code::Overloaded, retry_after })));
         }
+        if self.queue.len() > 0
+            && let Some(refusal) = self.pushback(now)
+        {
+            outcomes.extend(self.queue.drain().map(|w| (w.ticket, Err(refusal))));
+        }
         loop {
             // Moved out of `self`, because `choose_member` borrows all of it mutably.
             let mut queue = std::mem::take(&mut self.queue);
--- a/crates/core/src/dispatch/queue.rs
+++ b/crates/core/src/dispatch/queue.rs
@@ -58,6 +58,11 @@
         self.waiters.extract_if(.., |w| w.deadline <= now).collect()
     }
 
+    /// Removes and returns all requests.
+    pub(super) fn drain(&mut self) -> impl Iterator<Item = Waiter> {
+        std::mem::take(&mut self.waiters).into_iter()
+    }
+
     /// Removes the first request for which `choose_member` returns a member.
     pub(super) fn pop_first_placeable(
         &mut self,
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -72,6 +72,10 @@
     pub keep_alive: Option<Duration>,
     /// Whether the endpoint closes the connection after this response.
     pub closes_connection: bool,
+    /// Whether the endpoint says that it leaves.
+    pub leaving: bool,
+    /// How long the endpoint wants no requests of this gateway.
+    pub quiet_for: Option<Duration>,
 }
 
 /// Encoding and decoding of a platform's HTTP messages.
--- a/crates/gateway/src/endpoint_ends.rs
+++ b/crates/gateway/src/endpoint_ends.rs
@@ -13,6 +13,7 @@
 
 use crocustally_core::Digest;
 use crocustally_core::control::PromptPart;
+use crocustally_core::dispatch::Member;
 use crocustally_core::dispatch::MemberKey;
 use crocustally_core::dispatch::RequestOutcome;
 use crocustally_core::fleet::HeartbeatState;
@@ -109,6 +110,7 @@
     gateway: Arc<Gateway>,
     service: String,
     parts: Parts,
+    key: MemberKey,
     incarnation: Incarnation,
     domain: String,
     address: SocketAddr,
@@ -160,12 +162,13 @@
 
 impl InFlight {
     /// `None` if the parts of the prompt are unknown.
-    pub(crate) fn new(ex: &Exchange, registration: &Registration) -> Option<Self> {
+    pub(crate) fn new(ex: &Exchange, key: MemberKey, registration: &Registration) -> Option<Self> {
         let beat = &registration.heartbeat;
         (!ex.meta.shared_parts.is_empty()).then(|| Self {
             gateway: ex.gateway.clone(),
             service: ex.access_log.service.clone(),
             parts: ex.meta.shared_parts.clone(),
+            key,
             incarnation: Incarnation::of(registration),
             domain: beat.domain.clone(),
             address: beat.address,
@@ -209,8 +212,12 @@
         Suspicion { parts: self.parts.clone(), digest: self.digest, sent_at: self.sent_at }
     }
 
-    /// Whether the endpoint has announced that it leaves.
+    /// Whether the endpoint has announced that it leaves, by a heartbeat or in a response.
     fn leaves_as_announced(&self) -> bool {
+        let pool = self.gateway.pool(&self.service);
+        if pool.with_pool(|pool| pool.member(self.key).is_some_and(Member::is_leaving)) {
+            return true;
+        }
         let fleet = self.gateway.fleet();
         let registration = fleet.registry.get(&self.incarnation.endpoint);
         registration.is_some_and(|r| {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -156,7 +156,7 @@
         let registration = self
             .slot_pool
             .with_pool(|pool| pool.member(slot.key).map(|member| member.registration.clone()));
-        slot.set_in_flight(registration.and_then(|r| InFlight::new(self, &r)));
+        slot.set_in_flight(registration.and_then(|r| InFlight::new(self, slot.key, &r)));
         Ok(slot)
     }
 
@@ -181,6 +181,13 @@
         Err(Refusal { code: Code::PromptBlocked, retry_after: Duration::ZERO })
     }
 
+    /// Refusal of a request that endpoints have refused, or could not be reached at.
+    pub(crate) fn all_refused(&self, retry_after: Duration) -> Refusal {
+        let now = self.now();
+        let pushback = self.slot_pool.with_pool(|pool| pool.pushback(now));
+        pushback.unwrap_or(Refusal { code: Code::EndpointFull, retry_after })
+    }
+
     /// Records an attempt that reached no endpoint and releases its slot.
     pub(crate) fn record_unopened(&mut self, slot: Slot, outcome: RequestOutcome) {
         self.unopened += 1;
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -88,6 +88,27 @@
         }
     }
 
+    /// Records that the endpoint says that it leaves; returns whether that is new.
+    pub(crate) fn record_leaving(&self) -> bool {
+        let mut is_new = false;
+        self.update_pool(|_, pool| is_new = pool.record_leaving(self.key));
+        is_new
+    }
+
+    /// Records that the endpoint wants no requests of this gateway for `time`.
+    pub(crate) fn record_quiet(&self, time: Duration) {
+        self.update_pool(|now, pool| pool.record_quiet(now, self.key, time));
+    }
+
+    /// Changes the pool and delivers what follows for the queue.
+    fn update_pool(&self, f: impl FnOnce(Instant, &mut Pool)) {
+        let now = self.slot_pool.clock.now();
+        self.slot_pool.update_pool(now, |pool| {
+            f(now, pool);
+            pool.tick(now)
+        });
+    }
+
     /// Records the gap between two events.
     pub(crate) fn record_event_gap(&self, gap: Duration) {
         let now = self.slot_pool.clock.now();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -37,9 +37,8 @@
 const RESUME_PAUSE: Duration = Duration::from_millis(150);
 /// Total time for attempts to resume a stream; callers disconnect after about two seconds.
 const RESUME_TIME_MAX: Duration = Duration::from_millis(2200);
-/// Refusal of a request that endpoints have refused, or could not be reached at.
-const ALL_REFUSED: Refusal =
-    Refusal { code: Code::EndpointFull, retry_after: Duration::from_millis(600) };
+/// `Retry-After` of a stream that endpoints have refused.
+const RETRY_AFTER_REFUSALS: Duration = Duration::from_millis(600);
 
 /// An open stream from an endpoint.
 struct UpstreamStream {
@@ -110,13 +109,15 @@
             SendOutcome::Unopened(outcome) => {
                 ex.record_unopened(slot, outcome);
                 if !ex.can_send() || ex.remaining().is_zero() {
-                    return Err(OpenError::Refused(ALL_REFUSED));
+                    let refusal = ex.all_refused(RETRY_AFTER_REFUSALS);
+                    return Err(OpenError::Refused(refusal));
                 }
             }
             SendOutcome::NotExecuted(outcome) => {
                 ex.record_attempt(slot, outcome);
                 if !ex.can_send() || ex.remaining().is_zero() {
-                    return Err(OpenError::Refused(ALL_REFUSED));
+                    let refusal = ex.all_refused(RETRY_AFTER_REFUSALS);
+                    return Err(OpenError::Refused(refusal));
                 }
             }
             SendOutcome::MaybeExecuted(outcome) => {
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use crocustally_core::Code;
 use crocustally_core::dispatch::MemberKey;
 use crocustally_core::dispatch::Refusal;
 use crocustally_core::dispatch::RequestOutcome;
@@ -27,7 +26,6 @@
 pub(crate) async fn serve(mut ex: Exchange) -> Response<ResponseBody> {
     // An endpoint's own error response, delivered unless another endpoint succeeds.
     let mut failure: Option<(EndpointResponse, Bytes)> = None;
-    let all_refused = Refusal { code: Code::EndpointFull, retry_after: RETRY_AFTER_REFUSALS };
     loop {
         let slot = match ex.acquire_slot().await {
             Ok(slot) => slot,
@@ -38,20 +36,23 @@
             SendOutcome::Unopened(outcome) => {
                 ex.record_unopened(slot, outcome);
                 if !ex.can_send() || ex.remaining().is_zero() {
-                    return final_response(&mut ex, failure, all_refused);
+                    let refusal = ex.all_refused(RETRY_AFTER_REFUSALS);
+                    return final_response(&mut ex, failure, refusal);
                 }
             }
             SendOutcome::NotExecuted(outcome) => {
                 ex.record_attempt(slot, outcome);
                 if !ex.can_send() || ex.remaining().is_zero() {
-                    return final_response(&mut ex, failure, all_refused);
+                    let refusal = ex.all_refused(RETRY_AFTER_REFUSALS);
+                    return final_response(&mut ex, failure, refusal);
                 }
             }
             SendOutcome::MaybeExecuted(outcome) => {
                 ex.executions += 1;
                 ex.record_attempt(slot, outcome);
                 if !ex.can_rerun() || !ex.can_send() {
-                    return final_response(&mut ex, failure, all_refused);
+                    let refusal = ex.all_refused(RETRY_AFTER_REFUSALS);
+                    return final_response(&mut ex, failure, refusal);
                 }
             }
             SendOutcome::Response(mut response) => {
@@ -63,7 +64,8 @@
                     if ex.can_rerun() && ex.can_send() {
                         continue;
                     }
-                    return final_response(&mut ex, failure, all_refused);
+                    let refusal = ex.all_refused(RETRY_AFTER_REFUSALS);
+                    return final_response(&mut ex, failure, refusal);
                 };
                 let failed = response.head.status.is_server_error();
                 ex.record_attempt(
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -140,6 +140,9 @@
         log_foreign_response(ex, slot, head.status, meta.request_id.as_deref());
         return SendOutcome::MaybeExecuted(RequestOutcome::Broken);
     }
+    if !meta.misdirected {
+        record_pushback(ex, slot, &meta);
+    }
     if meta.not_executed {
         let response = EndpointResponse { head, meta, body, framing, client, conn };
         return consume_refusal(response).await;
@@ -163,6 +166,24 @@
     );
 }
 
+/// Records what the endpoint says about further requests of this gateway.
+fn record_pushback(ex: &Exchange, slot: &Slot, meta: &ResponseHead) {
+    let (endpoint, service) = (slot.endpoint.as_str(), ex.access_log.service.as_str());
+    if meta.leaving && slot.record_leaving() {
+        log::info!(endpoint = endpoint, service = service; "endpoint says that it leaves");
+        metrics::counter!("crocustally_endpoints_leaving").increment(1);
+    }
+    if let Some(time) = meta.quiet_for {
+        slot.record_quiet(time);
+        let quiet_ms = time.as_millis() as u64;
+        log::info!(
+            endpoint = endpoint, service = service, quiet_ms = quiet_ms;
+            "endpoint wants no requests for a time"
+        );
+        metrics::counter!("crocustally_endpoint_quiet_times").increment(1);
+    }
+}
+
 fn log_foreign_response(ex: &Exchange, slot: &Slot, status: StatusCode, response_id: Option<&str>) {
     log::warn!(
         id = ex.meta.id.as_str(),
