Agent: a body that ends with its connection is whole only if its engine is still there

The agent now asks for the engine's start number, as after any failure; streams are not affected, since they have an end event. Other readers were looked at: orders, reports and policies are JSON objects, of which no cut part parses; heartbeats and operators' documents are request bodies, which have a length or chunks; the rest is gRPC.

--- a/crates/agent/src/engine_run.rs
+++ b/crates/agent/src/engine_run.rs
@@ -13,6 +13,7 @@
 use crocustally_core::agent::AttemptState;
 use crocustally_core::control::ServiceKind;
 use crocustally_core::routing::Load;
+use crocustally_net::BodyFraming;
 use crocustally_net::HttpError;
 use crocustally_net::timeout;
 use crocustally_wire::RunPiece;
@@ -184,8 +185,13 @@
     async fn relay_unstreamed(&self, response: Response<Incoming>, sent_at: Instant) -> Outcome {
         let content_type = content_type(&response);
         let status = response.status().as_u16();
+        let framing = BodyFraming::of(&response);
         let limited = http_body_util::Limited::new(response.into_body(), UNSTREAMED_BODY_BYTES_MAX);
         let Ok(body) = limited.collect().await else { return Outcome::Failed(Code::EngineFailed) };
+        // The end of an engine's process closes a body in the same way as its own end.
+        if framing == BodyFraming::Close && self.engine_died().await {
+            return Outcome::Failed(Code::EngineFailed);
+        }
         if self.agent.cfg.kind == ServiceKind::Plain {
             self.record_first_byte(sent_at);
         }
