--- a/crates/daemons/tests/crashing_parts.rs
+++ b/crates/daemons/tests/crashing_parts.rs
@@ -355,6 +355,13 @@
     run_seeds(&[End::Silent], CRASHING_RATE);
 }
 
+/// Guards against a part at which endpoints hang until they are replaced, and nobody is blamed, since
+/// the gateways have given its requests up by then (left from the incident BUDGET).
+#[test]
+fn crashing_part_is_refused_when_endpoints_hang() {
+    run_seeds(&[End::Hang], CRASHING_RATE);
+}
+
 /// Guards against a blocked part that crashes endpoints again after a restart (incident BUDGET): of all
 /// processes at once, and of one gateway while a control instance is down.
 #[test]
