Gateway: requests at an endpoint that hangs are remembered until it is replaced

The check now goes on until the endpoint is heard again or replaced, 8 s at most.

Ruled out: a sooner notice by the last heartbeat, which would blame shared parts for a stall of many endpoints at once.

--- a/crates/gateway/src/endpoint_ends.rs
+++ b/crates/gateway/src/endpoint_ends.rs
@@ -60,6 +60,11 @@
 /// that is only cut off from this gateway is heard meanwhile.
 const SILENT_CHECK_PAUSES: [Duration; 3] =
     [Duration::ZERO, Duration::from_millis(300), Duration::from_millis(1000)];
+/// Interval between the checks of an endpoint that accepts connections but may hang.
+const HANG_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest time from the start of the checks until an endpoint that hangs has been replaced, or a sound
+/// one is heard again: several intervals between heartbeats.
+const HANG_CHECK_MAX: Duration = Duration::from_secs(8);
 /// Time after an interruption within which a heartbeat from before it may arrive: the interval between
 /// two batches of a control instance, and the way.
 const HEARTBEAT_DELAY: Duration = Duration::from_millis(300);
@@ -286,7 +291,34 @@
                 return true;
             }
         }
-        connection == ConnectionCheck::Silent && self.is_silent_alone(interrupted_at)
+        match connection {
+            ConnectionCheck::Silent => self.is_silent_alone(interrupted_at),
+            ConnectionCheck::Accepts if silent => self.ends_before_heard(interrupted_at).await,
+            ConnectionCheck::Accepts | ConnectionCheck::Refuses => false,
+        }
+    }
+
+    /// Waits until an endpoint whose kernel still accepts connections is heard again or replaced;
+    /// returns whether it was replaced. Its requests must not be forgotten meanwhile, since nobody else
+    /// can be at fault.
+    async fn ends_before_heard(&self, interrupted_at: Instant) -> bool {
+        while self.gateway.clock.now() < interrupted_at + HANG_CHECK_MAX {
+            if self.is_replaced() {
+                return true;
+            }
+            if self.leaves_as_announced() || self.is_heard_since(interrupted_at) {
+                return false;
+            }
+            sleep(HANG_CHECK_INTERVAL).await;
+        }
+        false
+    }
+
+    /// Whether a heartbeat has come that the endpoint sent after the interruption.
+    fn is_heard_since(&self, interrupted_at: Instant) -> bool {
+        let fleet = self.gateway.fleet();
+        let registration = fleet.registry.get(&self.incarnation.endpoint);
+        registration.is_some_and(|r| r.received_at > interrupted_at + HEARTBEAT_DELAY)
     }
 
     fn is_replaced(&self) -> bool {
@@ -296,11 +328,10 @@
     /// Whether no heartbeat of the endpoint has come since the interruption, while most of the others
     /// in its failure domain are heard: a domain that is cut off has not ended.
     fn is_silent_alone(&self, interrupted_at: Instant) -> bool {
-        let fleet = self.gateway.fleet();
-        let heard_since = |r: &Registration| r.received_at > interrupted_at + HEARTBEAT_DELAY;
-        if fleet.registry.get(&self.incarnation.endpoint).is_some_and(heard_since) {
+        if self.is_heard_since(interrupted_at) {
             return false;
         }
+        let fleet = self.gateway.fleet();
         let in_domain = |r: &&Registration| {
             r.heartbeat.domain == self.domain
                 && r.heartbeat.state == HeartbeatState::Ready
