--- a/crates/core/src/dispatch/member.rs
+++ b/crates/core/src/dispatch/member.rs
@@ -186,8 +186,8 @@
         self.quiet_until(now).is_some()
     }
 
-    /// Takes over what the endpoint known before at the same address has said. Its wish for quiet may
-    /// be the machine's; only the same process under another id still leaves.
+    /// Takes over what the endpoint known before at the same address has said: a wish for quiet, and
+    /// the leave of the same process under another id. A process that was born later does not leave.
     pub fn inherit(&mut self, before: &Self) {
         self.quiet_until = self.quiet_until.max(before.quiet_until);
         let born_ms = |m: &Self| m.registration.heartbeat.born_ms;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -231,7 +231,7 @@
     if inside_event || none_came {
         return broken_off(ex, source, "ended inside an event or before the first one");
     }
-    if !source.response.is_ended_by_endpoint(ex, &source.slot).await {
+    if !source.response.is_complete(ex, &source.slot).await {
         return broken_off(ex, source, &BodyError::EndpointEnded.to_string());
     }
     StreamItem::End(source.buf.take_remaining())
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -54,7 +54,7 @@
 
     /// Whether the end of the body is the end of the response. A process that ends closes its
     /// connections, and nothing else tells that from a response that ends with its connection.
-    pub(crate) async fn is_ended_by_endpoint(&self, ex: &Exchange, slot: &Slot) -> bool {
+    pub(crate) async fn is_complete(&self, ex: &Exchange, slot: &Slot) -> bool {
         if self.framing != BodyFraming::Close {
             return true;
         }
@@ -257,7 +257,7 @@
     let limit = ex.gateway.cfg.response_bytes_max;
     let read = timeout(ex.remaining(), collect_body(&mut response.body, limit)).await;
     let mut body = read.unwrap_or(Err(BodyError::TimedOut));
-    if body.is_ok() && !response.is_ended_by_endpoint(ex, slot).await {
+    if body.is_ok() && !response.is_complete(ex, slot).await {
         body = Err(BodyError::EndpointEnded);
     }
     if let Err(e) = &body {
