--- a/review/standin.py
+++ b/review/standin.py
@@ -109,15 +109,19 @@
         self.start(name)
         return name
 
-    def start(self, name):
-        role = name.split("-")[0]
-        folder = os.path.join(self.temp, name)
-        with open(os.path.join(ROOT, "platform", f"{role}.yaml")) as f:
+    def write_settings(self, name):
+        with open(os.path.join(ROOT, "platform", f"{name.split('-')[0]}.yaml")) as f:
             text = render(f.read(), self.fields[name])
-        path = os.path.join(folder, "boot.conf")
+        path = os.path.join(self.temp, name, "boot.conf")
         with open(path + ".new", "w") as f:
             f.write(text)
         os.rename(path + ".new", path)
+        return path
+
+    def start(self, name):
+        role = name.split("-")[0]
+        folder = os.path.join(self.temp, name)
+        path = self.write_settings(name)
         log = open(os.path.join(folder, "log"), "a")
         program = os.path.join(ROOT, "target/release", self.ROLES[role])
         proc = subprocess.Popen([program, "--settings", path], stdout=log, stderr=log, cwd=ROOT,
@@ -127,6 +131,12 @@
             self.procs[name] = proc
         self.record(f"{name}: process {proc.pid} started")
 
+    def settings(self, name, seeds):
+        """Changes the seeds in the settings file of a running process, which reads it again."""
+        self.fields[name]["seeds"] = seeds
+        self.write_settings(name)
+        self.signal(name, signal.SIGHUP)
+
     def signal(self, name, sig):
         self.record(f"{name}: {signal.Signals(sig).name}")
         self.procs[name].send_signal(sig)
@@ -232,3 +242,83 @@
         while self.running:
             self.beat()
             time.sleep(1.2)
+
+
+class PlainRunner:
+    """A sound runner of a plain service."""
+
+    def __init__(self, deployment, record, i, service, slots=6):
+        self.record, self.ident, self.ran = record, f"i-{i}", []
+        ip = deployment.ip("runner", i)
+        self.listener = socket.create_server((ip, APP), backlog=256)
+        threading.Thread(target=self.accept, daemon=True).start()
+        self.heart = Heart(deployment, record, self.ident, service, f"{ip}:{APP}", ZONES[(i - 1) % 3], slots)
+
+    def accept(self):
+        while True:
+            conn, _ = self.listener.accept()
+            threading.Thread(target=self.serve, args=(conn,), daemon=True).start()
+
+    def serve(self, conn):
+        f = conn.makefile("rb")
+        try:
+            while True:
+                line = f.readline()
+                if not line:
+                    return
+                headers = {}
+                while True:
+                    text = f.readline().strip()
+                    if not text:
+                        break
+                    name, value = text.decode().split(":", 1)
+                    headers[name.lower()] = value.strip()
+                f.read(int(headers.get("content-length", "0")))
+                self.answer(conn, headers)
+        except OSError:
+            pass
+        finally:
+            conn.close()
+
+    def answer(self, conn, headers):
+        ident = headers.get("request-id", "")
+        if headers.get("expect-instance", self.ident) != self.ident:
+            head = f"HTTP/1.1 421 Misdirected\r\nRequest-Id: {ident}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            conn.sendall(head.encode())
+            return
+        self.ran.append(ident)
+        self.record(f"runner {self.ident}: runs {ident}")
+        time.sleep(0.06)
+        body = b"x" * 800
+        conn.sendall(f"{self.head(ident, len(body))}\r\n".encode() + body)
+
+    def head(self, ident, length):
+        return (f"HTTP/1.1 200 OK\r\nRequest-Id: {ident}\r\nResponse-Signature: {self.ident}.{ident}\r\n"
+                f"Instance-Id: {self.ident}\r\nContent-Length: {length}\r\n")
+
+
+def request(address, host, path, deadline_ms, method="GET"):
+    """One request of a client with a connection of its own; returns its id and the status, or None."""
+    ident = f"{random.getrandbits(64):016x}"
+    conn = http.client.HTTPConnection(*address, timeout=deadline_ms / 1000 + 1)
+    try:
+        conn.request(method, path, None, {"Host": host, "Request-Id": ident, "Deadline-Ms": str(deadline_ms)})
+        response = conn.getresponse()
+        response.read()
+        return ident, response.status
+    except (OSError, http.client.HTTPException):
+        return ident, None
+    finally:
+        conn.close()
+
+
+def plain_config(version):
+    """A configuration with one route to one plain service."""
+    return {"version": version,
+            "routes": [{"name": "r1", "host": "a.example", "path-prefix": "/a/", "kind": "safe",
+                        "timeout-ms": 2000, "target-latency-ms": 300, "priority": 1, "service": "portal",
+                        "attempts": 2, "public": True}],
+            "services": [{"name": "portal", "health-path": "/health", "max-conns": 96, "protocol": "h1",
+                          "tls": False, "warmup-s": 0.0, "cold-per-s": 0.0}],
+            "limits": {"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000,
+                       "idle-timeout-ms": 15000}}
