Review case 3: sound runners are dropped when their earlier addresses are reused

The registry keeps the earlier address of a runner that has moved, and marks the runner as gone when another one registers there.

--- a/review/standin.py
+++ b/review/standin.py
@@ -88,6 +88,8 @@
         self.procs = {}
         self.fields = {}
         self.lock = threading.Lock()
+        # A script that is stopped still ends its processes.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
     def ip(self, role, i):
         return f"{self.net}.{ {'control': 1, 'gateway': 2, 'rank': 3, 'runner': 4}[role] }.{i}"
@@ -218,7 +220,7 @@
         self.deployment, self.record = deployment, record
         self.ident, self.service, self.address, self.zone, self.slots = ident, service, address, zone, slots
         self.born, self.seq, self.state = int(time.time() * 1000), 0, "ready"
-        self.running = True
+        self.running, self.acked = True, 0
         self.thread = threading.Thread(target=self.run, daemon=True)
         self.thread.start()
 
@@ -235,6 +237,7 @@
         for address in controls:
             answer = call(address, "POST", f"/instances/{self.ident}/{what}", json.dumps(body).encode())
             if answer and answer[0] == 200:
+                self.acked += 1
                 return address
         return None
 
@@ -247,16 +250,33 @@
 class PlainRunner:
     """A sound runner of a plain service."""
 
-    def __init__(self, deployment, record, i, service, slots=6):
-        self.record, self.ident, self.ran = record, f"i-{i}", []
+    def __init__(self, deployment, record, i, service, slots=6, ident=None):
+        self.record, self.ident, self.ran, self.conns = record, ident or f"i-{i}", [], set()
         ip = deployment.ip("runner", i)
         self.listener = socket.create_server((ip, APP), backlog=256)
         threading.Thread(target=self.accept, daemon=True).start()
         self.heart = Heart(deployment, record, self.ident, service, f"{ip}:{APP}", ZONES[(i - 1) % 3], slots)
 
+    def stop(self):
+        """The runner crashes: its connections end, and it sends no more heartbeats."""
+        self.record(f"runner {self.ident}: crashes")
+        self.heart.running = False
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for conn in list(self.conns):
+            try:
+                conn.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+        self.heart.thread.join()
+
     def accept(self):
         while True:
-            conn, _ = self.listener.accept()
+            try:
+                conn, _ = self.listener.accept()
+            except OSError:
+                return
+            self.conns.add(conn)
             threading.Thread(target=self.serve, args=(conn,), daemon=True).start()
 
     def serve(self, conn):
@@ -278,6 +298,7 @@
         except OSError:
             pass
         finally:
+            self.conns.discard(conn)
             conn.close()
 
     def answer(self, conn, headers):
