Log: say why a quorum, a vote or a read of the policy was lost

The lines could not tell a lost quorum from a newer term, a refused vote from a silent voter, or a read that found no leader from one whose disk was slow.

Names and times of contact move from the driver to raft::Contacts, so that a model can use them.

No behaviour changes.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -110,16 +110,30 @@
     ///
     /// The read goes through the replicated log, so it is never older than an acknowledged write.
     async fn get_policy(&self) -> ControlResponse {
+        let arrived = self.clock.now();
         let outcome = self.log.propose(Kind::ReadPolicy(true), COMMIT_TIMEOUT).await;
         match outcome.map(|o| o.kind) {
-            Ok(Some(OutcomeKind::Policy(p))) if p.version > 0 => match p.text() {
+            Ok(Some(OutcomeKind::Policy(p))) if p.version == 0 => {
+                log::info!("read of the policy refused: there is none yet");
+                ControlResponse::Unavailable
+            }
+            Ok(Some(OutcomeKind::Policy(p))) => match p.text() {
                 Ok(text) => ControlResponse::Policy(text),
                 Err(e) => {
                     log::error!(version = p.version; "policy document unusable: {e}");
                     ControlResponse::Unavailable
                 }
             },
-            _ => ControlResponse::Unavailable,
+            outcome => {
+                let waited = self.clock.now().saturating_duration_since(arrived);
+                let code = outcome.err().map(|code| code.number());
+                let leader = self.log.leader();
+                log::warn!(
+                    ms = waited.as_millis() as u64, code = code, leader = leader.as_deref();
+                    "read of the policy refused"
+                );
+                ControlResponse::Unavailable
+            }
         }
     }
 
--- a/crates/core/src/raft/mod.rs
+++ b/crates/core/src/raft/mod.rs
@@ -1,6 +1,7 @@
 //! The replicated log: Raft consensus among voters, replication to learners, and membership repair.
 
 mod codec;
+mod contacts;
 mod log;
 mod peer;
 mod repair;
@@ -8,6 +9,7 @@
 mod types;
 
 pub use codec::MalformedMessage;
+pub use contacts::Contacts;
 pub use log::Log;
 pub use repair::ReplicaStatus;
 pub use repair::VOTER_LOSS_TIMEOUT;
--- a/crates/core/src/raft/replica.rs
+++ b/crates/core/src/raft/replica.rs
@@ -72,6 +72,11 @@
     pub messages: Vec<(ReplicaId, Message)>,
     /// Newly committed entries to apply, in log order.
     pub committed: Vec<Entry>,
+    /// If this leader has lost its quorum, the voters that did not reply in time and the time since
+    /// their last reply; `None` for one that never replied.
+    pub quorum_lost: Vec<(ReplicaId, Option<Duration>)>,
+    /// Voters that refused this candidate their vote.
+    pub votes_refused: Vec<ReplicaId>,
 }
 
 /// A Raft replica with pre-vote, check-quorum, learners and single-voter membership changes.
@@ -410,6 +415,9 @@
             (Role::Candidate, false) => term == self.hard_state.term,
             _ => false,
         };
+        if !granted && matches!(self.role, Role::PreCandidate | Role::Candidate) {
+            self.pending.votes_refused.push(from);
+        }
         if granted && expected && !self.votes.contains(&from) {
             self.votes.push(from);
             self.count_votes(now);
@@ -445,16 +453,19 @@
     }
 
     fn check_quorum(&mut self, now: Instant) {
-        let in_contact = |id: &ReplicaId| {
-            *id == self.id
-                || self
-                    .peers
-                    .get(id)
-                    .and_then(|p| p.last_contact)
-                    .is_some_and(|at| now.saturating_duration_since(at) < CHECK_QUORUM_TIMEOUT)
+        let silence = |id: &ReplicaId| {
+            let contact_at = self.peers.get(id)?.last_contact?;
+            Some(now.saturating_duration_since(contact_at))
         };
-        let reachable = self.members.voters.iter().filter(|v| in_contact(v)).count();
-        if reachable < self.members.quorum() {
+        let mut silent = Vec::new();
+        for v in self.members.voters.iter().filter(|v| **v != self.id) {
+            let time = silence(v);
+            if time.is_none_or(|t| t >= CHECK_QUORUM_TIMEOUT) {
+                silent.push((*v, time));
+            }
+        }
+        if self.members.voters.len() - silent.len() < self.members.quorum() {
+            self.pending.quorum_lost = silent;
             self.become_follower(now, self.hard_state.term, None);
         }
     }
--- a/crates/log/src/driver.rs
+++ b/crates/log/src/driver.rs
@@ -2,7 +2,6 @@
 //! committed entries.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -11,6 +10,7 @@
 use async_channel::Sender;
 use bytes::Bytes;
 use crocustally_core::control::StateMachine;
+use crocustally_core::raft::Contacts;
 use crocustally_core::raft::Entry as LogEntry;
 use crocustally_core::raft::Members;
 use crocustally_core::raft::Message;
@@ -20,7 +20,6 @@
 use crocustally_core::raft::Record;
 use crocustally_core::raft::Replica;
 use crocustally_core::raft::ReplicaId;
-use crocustally_core::raft::ReplicaStatus;
 use crocustally_core::raft::Role;
 use crocustally_core::raft::plan_repair;
 use crocustally_net::Clock;
@@ -36,6 +35,12 @@
 /// Maximum number of further events that are handled before one sync of the journal.
 const EVENTS_PER_SYNC: usize = 512;
 
+/// A write or sync of the journal that takes longer is logged; a tenth of the time after which
+/// operators turn to another instance.
+const SLOW_DISK_TIME: Duration = Duration::from_millis(100);
+/// Interval between log lines of a replica that knows no leader.
+const LEADERLESS_LOG_INTERVAL: Duration = Duration::from_secs(2);
+
 /// An event for the driver.
 #[derive(Debug)]
 pub(crate) enum Event {
@@ -107,13 +112,16 @@
     may_vote: Vec<String>,
     /// Term and reply channel of each uncommitted proposal, by log index.
     pending_proposals: BTreeMap<u64, (u64, Sender<Outcome>)>,
-    names: HashMap<ReplicaId, String>,
-    last_contact: HashMap<ReplicaId, Instant>,
+    contacts: Contacts,
     leader_since: Option<Instant>,
     /// Whether the local state may be acted on. The state recovered from a disk has been in use
     /// before, but a replica that started with an empty disk has to catch up first, since its state
     /// may be older than the one its instance acted on before.
     state_usable: bool,
+    /// Since when no leader is known, or when this was last logged.
+    leaderless_since: Option<Instant>,
+    /// Voter and term of the last refused vote that was logged.
+    last_refusal: Option<(ReplicaId, u64)>,
     /// Role and leader as last recorded by `update_role`.
     last_role: (Role, Option<ReplicaId>),
     stopped: bool,
@@ -153,9 +161,10 @@
             voters,
             may_vote,
             pending_proposals: BTreeMap::new(),
-            names: HashMap::new(),
-            last_contact: HashMap::new(),
+            contacts: Contacts::default(),
             leader_since: None,
+            leaderless_since: None,
+            last_refusal: None,
             last_role: (Role::Follower, None),
             stopped: false,
             disk_failed: false,
@@ -179,6 +188,7 @@
                 self.handle_event(now, event);
             }
             self.replica.tick(now);
+            self.log_leaderless(now);
             self.repair(now);
             self.advance();
         }
@@ -197,15 +207,14 @@
     fn handle_event(&mut self, now: Instant, event: Event) {
         match event {
             Event::Messages { from, messages } => {
-                self.last_contact.insert(from, now);
+                self.contacts.record(now, from);
                 for m in messages {
                     self.replica.handle_message(now, from, m);
                 }
             }
             Event::Propose { command, reply } => self.propose(now, command, reply),
             Event::Contact { id, name } => {
-                self.last_contact.insert(id, now);
-                self.names.insert(id, name);
+                self.contacts.record_name(now, id, name);
             }
             Event::Bootstrap(members) => {
                 if self.replica.log().last_index() == 0 {
@@ -232,6 +241,7 @@
     /// Writes the journal, sends messages and applies committed entries, in this order.
     fn advance(&mut self) {
         let ready = self.replica.ready();
+        self.log_elections(&ready);
         let changed = ready.snapshot.is_some() || !ready.committed.is_empty();
         if let Err(e) = self.persist(&ready) {
             self.disk_failure(&e);
@@ -266,6 +276,17 @@
     }
 
     fn persist(&mut self, ready: &Ready) -> Result<(), crocustally_net::JournalError> {
+        let started_at = self.clock.now();
+        let result = self.write(ready);
+        let took = self.clock.now().saturating_duration_since(started_at);
+        if took >= SLOW_DISK_TIME {
+            let records = ready.records.len();
+            log::warn!(ms = took.as_millis() as u64, records = records; "the disk is slow");
+        }
+        result
+    }
+
+    fn write(&mut self, ready: &Ready) -> Result<(), crocustally_net::JournalError> {
         if let Some(s) = &ready.snapshot {
             if let Ok(machine) = StateMachine::restore(&s.state) {
                 self.state_machine = Arc::new(machine);
@@ -320,6 +341,49 @@
         before != now
     }
 
+    /// Logs a lost quorum and the votes that this replica was refused, once a voter and term.
+    fn log_elections(&mut self, ready: &Ready) {
+        let term = self.replica.term();
+        for (id, silence) in &ready.quorum_lost {
+            let name = self.contacts.name(*id).unwrap_or_default();
+            let ms = silence.map(|s| s.as_millis() as u64);
+            log::warn!(replica = id.0, name = name, silent_ms = ms, term = term; "quorum lost");
+        }
+        for id in &ready.votes_refused {
+            if self.last_refusal.replace((*id, term)) != Some((*id, term)) {
+                let name = self.contacts.name(*id).unwrap_or_default();
+                log::info!(replica = id.0, name = name, term = term; "vote refused");
+            }
+        }
+    }
+
+    /// Logs at intervals that no leader is known, with the time since each voter was heard.
+    fn log_leaderless(&mut self, now: Instant) {
+        let has_log = self.replica.log().last_index() > 0;
+        if self.replica.leader().is_some() || !has_log {
+            self.leaderless_since = None;
+            return;
+        }
+        let since = *self.leaderless_since.get_or_insert(now);
+        if now.saturating_duration_since(since) < LEADERLESS_LOG_INTERVAL {
+            return;
+        }
+        self.leaderless_since = Some(now);
+        let own = self.replica.id();
+        let mut voters = String::new();
+        for v in self.replica.members().voters.iter().filter(|v| **v != own) {
+            let name = self.contacts.name(*v).unwrap_or("unnamed");
+            let silence = self.contacts.silence(now, *v).map(|s| s.as_millis());
+            let silence = silence.map_or("never heard".to_owned(), |ms| format!("{ms} ms ago"));
+            voters += &format!("{name} {silence}; ");
+        }
+        let may_vote = self.replica.members().is_voter(own);
+        log::warn!(
+            term = self.replica.term(), voter = may_vote, heard = voters.as_str();
+            "no leader of the replicated log is known"
+        );
+    }
+
     fn publish(&mut self) {
         self.state_usable |= self.replica.caught_up();
         let view = LogView {
@@ -352,7 +416,7 @@
         if !self.replica.has_committed_in_term() {
             return;
         }
-        let known = self.replica_statuses(now, since);
+        let known = self.contacts.statuses(now, since, &self.replica, &self.may_vote);
         let Some(next) = plan_repair(self.replica.members(), self.voters, &known) else { return };
         let members = self.replica.members();
         let added = next.all().any(|id| !members.contains(id));
@@ -365,22 +429,4 @@
             );
         }
     }
-
-    fn replica_statuses(&self, now: Instant, since: Instant) -> BTreeMap<ReplicaId, ReplicaStatus> {
-        let last = self.replica.log().last_index();
-        let own = self.replica.id();
-        let mut statuses = BTreeMap::new();
-        let ids = self.names.keys().copied().chain(self.replica.members().all());
-        for id in ids {
-            let name = self.names.get(&id).cloned().unwrap_or_default();
-            let contact_at = self.last_contact.get(&id).copied().unwrap_or(since).max(since);
-            let since_contact =
-                if id == own { Duration::ZERO } else { now.saturating_duration_since(contact_at) };
-            let missing_entries =
-                self.replica.progress(id).map_or(0, |(m, _)| last.saturating_sub(m));
-            let may_vote = self.may_vote.is_empty() || self.may_vote.contains(&name);
-            statuses.insert(id, ReplicaStatus { name, may_vote, since_contact, missing_entries });
-        }
-        statuses
-    }
 }
