Log: a lost voter is replaced within the time that the deployment states

Cause: a silent voter gave its place to a learner after 10 s, a constant. A loss stops counting `catch-up-s` (4 s) after the successor started; then the next may begin, and two of three voters were gone. Hello calls went to peers one by one, 1 s for each that is gone.

Hello calls go out at once, a newly named peer is called immediately. It works because the silence, an election (1.4 s at most, plus retries) and three commits fit into the time that has to pass before the next loss may begin.

The model's status of replicas is now that of the driver.

--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use crocustally_core::raft::RepairSettings;
 use crocustally_log::LogSettings;
 use crocustally_log::PeerSettings;
 use crocustally_net::AdminSettings;
@@ -33,6 +34,9 @@
     /// Number of instances that may fail at the same time.
     #[serde(default = "default_losses")]
     pub losses: usize,
+    /// Time in seconds after the start of a lost instance's successor after which the next may fail.
+    #[serde(default = "default_catch_up")]
+    pub catch_up_s: f64,
     /// Data folder of the replicated log.
     pub data: PathBuf,
     /// Time that the expert copies of one plan may take at one rank, in milliseconds.
@@ -53,6 +57,11 @@
     1
 }
 
+/// The shortest of the deployments so far.
+fn default_catch_up() -> f64 {
+    4.0
+}
+
 /// A tenth of the time between two popularity shifts, which are about four seconds apart.
 fn default_copy_time() -> f64 {
     400.0
@@ -77,8 +86,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Whether the seeds bootstrap the replicated log.
     pub bootstrap: bool,
-    /// Target number of voters of the replicated log.
-    pub voters: usize,
+    /// Target number of voters of the replicated log, and the time for the replacement of a lost one.
+    pub repair: RepairSettings,
     /// Data folder of the replicated log.
     pub data: PathBuf,
     /// Time that the expert copies of one plan may take at one rank.
@@ -109,7 +118,7 @@
             data: Some(self.data.clone()),
             peers: other_seeds.map(peer).collect(),
             initial_voter: self.bootstrap && self.seeds.contains(&self.peer_listen),
-            voters: self.voters,
+            repair: self.repair,
             may_vote: Vec::new(),
         }
     }
@@ -127,6 +136,10 @@
         if !raw.copy_time_ms.is_finite() || raw.copy_time_ms <= 0.0 {
             return Err(SettingsError::invalid("copy_time_ms", "must be more than 0"));
         }
+        let catch_up = Duration::try_from_secs_f64(raw.catch_up_s).unwrap_or_default();
+        if catch_up.is_zero() {
+            return Err(SettingsError::invalid("catch_up_s", "must be more than 0"));
+        }
         if raw.threads == 0 {
             return Err(SettingsError::invalid("threads", "must be 1 or more"));
         }
@@ -143,7 +156,7 @@
             peer_listen,
             seeds,
             bootstrap: raw.found,
-            voters: 2 * raw.losses + 1,
+            repair: RepairSettings { voters: 2 * raw.losses + 1, catch_up },
             data: raw.data,
             copy_time: Duration::from_secs_f64(raw.copy_time_ms / 1e3),
             threads: raw.threads,
--- a/crates/core/tests/cluster/mod.rs
+++ b/crates/core/tests/cluster/mod.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use crocustally_core::control::Config;
 use crocustally_core::control::StateMachine;
+use crocustally_core::raft::Contacts;
 use crocustally_core::raft::Entry;
 use crocustally_core::raft::HardState;
 use crocustally_core::raft::Log;
@@ -15,9 +16,9 @@
 use crocustally_core::raft::Message;
 use crocustally_core::raft::Payload;
 use crocustally_core::raft::Record;
+use crocustally_core::raft::RepairSettings;
 use crocustally_core::raft::Replica;
 use crocustally_core::raft::ReplicaId;
-use crocustally_core::raft::ReplicaStatus;
 use crocustally_core::raft::Role;
 use crocustally_core::raft::Snapshot;
 use crocustally_core::raft::plan_repair;
@@ -25,12 +26,18 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-/// Number of instances: three voters and a learner.
+/// Default number of instances: three voters and a learner.
 pub const INSTANCES: usize = 4;
-/// Target number of voters.
+/// Default target number of voters.
 const VOTERS: usize = 3;
+/// Default catch-up time, that of the smallest deployments.
+const CATCH_UP: Duration = Duration::from_secs(4);
 /// Simulated time per step.
 const STEP: Duration = Duration::from_millis(10);
+/// Interval between the hello rounds of a replica that knows a leader.
+const HELLO_INTERVAL: Duration = Duration::from_secs(5);
+/// Interval between the hello rounds of other replicas.
+const HELLO_INTERVAL_NO_LEADER: Duration = Duration::from_secs(1);
 /// Log length at which a replica takes a snapshot.
 const COMPACT_ENTRIES: usize = 24;
 
@@ -49,6 +56,11 @@
 struct Node {
     disk: Disk,
     running: Option<(Replica, StateMachine)>,
+    /// What the running replica has heard from the others.
+    contacts: Contacts,
+    /// When the running replica became leader, if it leads.
+    leader_since: Option<Instant>,
+    next_hello: Instant,
     /// Highest configuration version seen; must not decrease across restarts. Only a lost disk may
     /// lower the version until the replica has caught up.
     max_version: u64,
@@ -82,9 +94,11 @@
     messages_sent: u64,
     next_id: u64,
     instance_of: HashMap<ReplicaId, usize>,
-    last_contact: HashMap<ReplicaId, Instant>,
+    repair: RepairSettings,
     /// Instances that are partitioned from all others.
     pub partitioned: Vec<usize>,
+    /// Instances whose processes are suspended; messages to them wait.
+    pub frozen: Vec<usize>,
     pub message_loss: f64,
     leaders: HashMap<u64, ReplicaId>,
     committed: BTreeMap<u64, Entry>,
@@ -96,6 +110,11 @@
 impl Cluster {
     /// Creates a newly bootstrapped cluster of three voters and a learner.
     pub fn new(seed: u64) -> Self {
+        Self::with_size(seed, INSTANCES, VOTERS, CATCH_UP)
+    }
+
+    /// Creates a newly bootstrapped cluster of `instances`, of which `voters` are voters.
+    pub fn with_size(seed: u64, instances: usize, voters: usize, catch_up: Duration) -> Self {
         let mut c = Self {
             now: Instant::now(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -104,32 +123,50 @@
             messages_sent: 0,
             next_id: 0,
             instance_of: HashMap::new(),
-            last_contact: HashMap::new(),
+            repair: RepairSettings { voters, catch_up },
             partitioned: Vec::new(),
+            frozen: Vec::new(),
             message_loss: 0.0,
             leaders: HashMap::new(),
             committed: BTreeMap::new(),
             acknowledged: Vec::new(),
             pending_proposals: Vec::new(),
         };
-        for _ in 0..INSTANCES {
-            let disk = Disk::default();
-            c.nodes.push(Node { disk, running: None, max_version: 0, disk_was_lost: false });
-        }
-        for i in 0..INSTANCES {
-            c.nodes[i].disk = c.new_disk(i);
+        for _ in 0..instances {
+            let i = c.add_instance();
             c.start(i);
         }
         let ids: Vec<ReplicaId> = c.nodes.iter().map(|n| n.disk.id).collect();
         let members = Members {
-            voters: ids[..VOTERS].iter().copied().collect(),
-            learners: ids[VOTERS..].iter().copied().collect(),
+            voters: ids[..voters].iter().copied().collect(),
+            learners: ids[voters..].iter().copied().collect(),
         };
         c.nodes[0].running.as_mut().unwrap().0.bootstrap(members);
         c.process_ready(0);
         c
     }
 
+    /// Adds an instance with an empty disk, not yet started; returns its index.
+    pub fn add_instance(&mut self) -> usize {
+        let i = self.nodes.len();
+        let disk = self.new_disk(i);
+        self.nodes.push(Node {
+            disk,
+            running: None,
+            contacts: Contacts::default(),
+            leader_since: None,
+            next_hello: self.now,
+            max_version: 0,
+            disk_was_lost: true,
+        });
+        i
+    }
+
+    /// Number of instances, including those that are gone.
+    pub fn instances(&self) -> usize {
+        self.nodes.len()
+    }
+
     fn new_disk(&mut self, i: usize) -> Disk {
         self.next_id += 1;
         let id = ReplicaId(self.next_id);
@@ -148,8 +185,10 @@
         let replica = Replica::new(d.id, d.hard_state, log, d.commit, self.now, seed);
         let machine = restore_machine(&d.snapshot);
         self.nodes[i].running = Some((replica, machine));
+        self.nodes[i].contacts = Contacts::default();
+        self.nodes[i].leader_since = None;
+        self.nodes[i].next_hello = self.now;
         self.process_ready(i);
-        self.last_contact.insert(self.nodes[i].disk.id, self.now);
     }
 
     /// Kills an instance; all state that is not on its disk is lost.
@@ -187,7 +226,7 @@
     /// The leader with the highest term, if any.
     pub fn leader(&self) -> Option<usize> {
         let is_leader = |i: &usize| self.replica(*i).is_some_and(|r| r.role() == Role::Leader);
-        (0..INSTANCES).filter(is_leader).max_by_key(|i| self.replica(*i).unwrap().term())
+        (0..self.instances()).filter(is_leader).max_by_key(|i| self.replica(*i).unwrap().term())
     }
 
     /// The replica of an instance, if it is running.
@@ -237,12 +276,16 @@
     fn step(&mut self) {
         self.now += STEP;
         self.deliver();
-        for i in 0..INSTANCES {
+        for i in 0..self.instances() {
+            if self.frozen.contains(&i) {
+                continue;
+            }
             let now = self.now;
             if let Some((r, _)) = self.nodes[i].running.as_mut() {
                 r.tick(now);
             }
             self.process_ready(i);
+            self.hello(i);
             self.repair(i);
         }
     }
@@ -257,14 +300,19 @@
             else {
                 continue;
             };
-            let blocked =
-                a != b && (self.partitioned.contains(&a) || self.partitioned.contains(&b));
+            let blocked = a != b && !self.connected(a, b);
             let now = self.now;
-            let Some((r, _)) = self.nodes[b].running.as_mut() else { continue };
+            if self.frozen.contains(&b) {
+                self.messages_sent += 1;
+                self.in_flight.insert((now + STEP, self.messages_sent), (from, to, m));
+                continue;
+            }
+            let node = &mut self.nodes[b];
+            let Some((r, _)) = node.running.as_mut() else { continue };
             if blocked || r.id() != to {
                 continue;
             }
-            self.last_contact.insert(from, now);
+            node.contacts.record(now, from);
             r.handle_message(now, from, m);
             self.process_ready(b);
         }
@@ -348,32 +396,47 @@
         self.nodes[i].disk.entries = entries;
     }
 
-    /// Proposes the next repair step on a leader, as its driver does.
-    fn repair(&mut self, i: usize) {
+    fn connected(&self, a: usize, b: usize) -> bool {
+        !self.partitioned.contains(&a) && !self.partitioned.contains(&b)
+    }
+
+    /// Announces a running instance to all that it can reach, as the rounds of hello calls do.
+    fn hello(&mut self, i: usize) {
         let now = self.now;
         let Some((r, _)) = self.nodes[i].running.as_ref() else { return };
-        if !r.has_committed_in_term() {
+        if now < self.nodes[i].next_hello {
             return;
         }
-        let last = r.log().last_index();
-        let mut known = BTreeMap::new();
-        for (id, at) in &self.last_contact {
-            let name = self.instance_of[id].to_string();
-            let alive = self.nodes[self.instance_of[id]].disk.id == *id
-                && self.nodes[self.instance_of[id]].running.is_some()
-                && !self.partitioned.contains(&self.instance_of[id]);
-            let last_contact = if alive { now } else { *at };
-            let since_contact = now.saturating_duration_since(last_contact);
-            let missing_entries = r.progress(*id).map_or(0, |(m, _)| last - m);
-            known.insert(
-                *id,
-                ReplicaStatus { name, may_vote: true, since_contact, missing_entries },
-            );
+        let interval = if r.leader().is_some() { HELLO_INTERVAL } else { HELLO_INTERVAL_NO_LEADER };
+        self.nodes[i].next_hello = now + interval;
+        let id = self.nodes[i].disk.id;
+        for other in (0..self.instances()).filter(|o| *o != i) {
+            let reached = self.connected(i, other) && !self.frozen.contains(&other);
+            if !reached || self.nodes[other].running.is_none() {
+                continue;
+            }
+            let other_id = self.nodes[other].disk.id;
+            self.nodes[other].contacts.record_name(now, id, i.to_string());
+            self.nodes[i].contacts.record_name(now, other_id, other.to_string());
         }
-        let Some(next) = plan_repair(r.members(), VOTERS, &known) else { return };
-        if let Some((r, _)) = self.nodes[i].running.as_mut() {
-            let _ = r.change_members(now, next);
+    }
+
+    /// Proposes the next repair step on a leader, as its driver does.
+    fn repair(&mut self, i: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[i];
+        let Some((r, _)) = node.running.as_mut() else { return };
+        if r.role() != Role::Leader {
+            node.leader_since = None;
+            return;
+        }
+        let since = *node.leader_since.get_or_insert(now);
+        if !r.has_committed_in_term() {
+            return;
         }
+        let known = node.contacts.statuses(now, since, r, &[]);
+        let Some(next) = plan_repair(r.members(), &self.repair, &known) else { return };
+        let _ = r.change_members(now, next);
         self.process_ready(i);
     }
 
@@ -388,7 +451,7 @@
     /// Whether all instances are running and have committed the last entry.
     pub fn all_caught_up(&self) -> bool {
         let last = self.committed.keys().next_back().copied().unwrap_or(0);
-        (0..INSTANCES).all(|i| self.replica(i).is_some_and(|r| r.commit_index() == last))
+        (0..self.instances()).all(|i| self.replica(i).is_some_and(|r| r.commit_index() == last))
     }
 }
 
--- a/crates/core/tests/repair.rs
+++ b/crates/core/tests/repair.rs
@@ -4,10 +4,13 @@
 use std::time::Duration;
 
 use crocustally_core::raft::Members;
+use crocustally_core::raft::RepairSettings;
 use crocustally_core::raft::ReplicaId;
 use crocustally_core::raft::ReplicaStatus;
 use crocustally_core::raft::plan_repair;
 
+const SETTINGS: RepairSettings = RepairSettings { voters: 3, catch_up: Duration::from_secs(4) };
+
 fn known(list: &[(u64, &str, u64, u64)]) -> BTreeMap<ReplicaId, ReplicaStatus> {
     let to_status = |&(id, name, since_contact_ms, missing_entries): &(u64, &str, u64, u64)| {
         let name = name.to_owned();
@@ -27,7 +30,7 @@
 /// Applies planned changes until none is left, checking that each changes at most one voter.
 fn apply_changes(mut m: Members, known: &BTreeMap<ReplicaId, ReplicaStatus>) -> Vec<Members> {
     let mut steps = Vec::new();
-    while let Some(next) = plan_repair(&m, 3, known) {
+    while let Some(next) = plan_repair(&m, &SETTINGS, known) {
         assert!(m.is_single_voter_change(&next), "{m:?} to {next:?}");
         assert!(steps.len() < 10, "repair does not terminate: {steps:?}");
         steps.push(next.clone());
--- a/crates/daemons/tests/soak/deployment.rs
+++ b/crates/daemons/tests/soak/deployment.rs
@@ -48,6 +48,9 @@
     pub runners: Vec<Arc<Runner>>,
     /// The relay in front of each runner.
     pub relays: Vec<TcpRelay>,
+    /// Addresses of the control instances that settings name; after a replacement they lag by one.
+    seeds: Vec<SocketAddr>,
+    replacements: u8,
     folder: PathBuf,
     keep_data: bool,
 }
@@ -77,6 +80,8 @@
             processes: Vec::new(),
             runners: Vec::new(),
             relays: Vec::new(),
+            seeds: Vec::new(),
+            replacements: 0,
             folder,
             keep_data: false,
         };
@@ -92,10 +97,26 @@
             d.relays.push(TcpRelay::start(rt, any, runner.address).await.unwrap());
             d.runners.push(Arc::new(runner));
         }
+        d.seeds = (0..CONTROLS).map(|c| d.control(c)).collect();
         (0..d.processes.len()).for_each(|i| d.spawn(i, true));
         d
     }
 
+    /// Gives the place of a control instance that is gone for good to one with an empty disk at
+    /// another address, which is not yet started. The settings written until the next replacement
+    /// still name the old one.
+    pub fn replace_control(&mut self, i: usize) {
+        self.kill(i);
+        self.delete_data(i);
+        self.seeds = (0..CONTROLS).map(|c| self.control(c)).collect();
+        self.replacements += 1;
+        let p = &mut self.processes[i];
+        let IpAddr::V4(old) = p.ip else { return };
+        let [a, b, c, _] = old.octets();
+        p.ip = IpAddr::from(Ipv4Addr::new(a, b, c, 100 + self.replacements));
+        p.name = format!("control-{i}-{}", self.replacements);
+    }
+
     /// Address of control instance `i` for operators and runners.
     pub fn control(&self, i: usize) -> SocketAddr {
         SocketAddr::new(self.processes[i].ip, CONTROL_PORT)
@@ -108,7 +129,7 @@
 
     fn settings(&self, i: usize, bootstrap: bool) -> String {
         let p = &self.processes[i];
-        let seeds: Vec<String> = (0..CONTROLS).map(|c| self.control(c).to_string()).collect();
+        let seeds: Vec<String> = self.seeds.iter().map(ToString::to_string).collect();
         let domain = format!("d{}", i % DOMAINS);
         let yaml = match p.kind {
             Kind::Control => json!({
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use crocustally_core::raft::RepairSettings;
 use crocustally_log::LogSettings;
 use crocustally_log::PeerSettings;
 use crocustally_net::AdminSettings;
@@ -15,6 +16,9 @@
 use crocustally_net::parse_address;
 use serde::Deserialize;
 
+/// Time after the return of a lost instance, or of its successor, within which it is a voter again.
+const CATCH_UP: Duration = Duration::from_secs(4);
+
 /// Another entry instance in the settings.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -136,7 +140,7 @@
             data: self.data.clone(),
             peers: self.peers.clone(),
             initial_voter: self.voter,
-            voters: self.voter_names().len(),
+            repair: RepairSettings { voters: self.voter_names().len(), catch_up: CATCH_UP },
             may_vote: names.chain([self.name.clone()]).collect(),
         }
     }
--- a/crates/log/src/driver.rs
+++ b/crates/log/src/driver.rs
@@ -18,6 +18,7 @@
 use crocustally_core::raft::ProposeError;
 use crocustally_core::raft::Ready;
 use crocustally_core::raft::Record;
+use crocustally_core::raft::RepairSettings;
 use crocustally_core::raft::Replica;
 use crocustally_core::raft::ReplicaId;
 use crocustally_core::raft::Role;
@@ -107,7 +108,7 @@
     clock: Arc<dyn Clock>,
     rx: Receiver<Event>,
     output: O,
-    voters: usize,
+    repair: RepairSettings,
     /// Names of the instances that may become voters; empty allows any.
     may_vote: Vec<String>,
     /// Term and reply channel of each uncommitted proposal, by log index.
@@ -137,7 +138,7 @@
         clock: Arc<dyn Clock>,
         rx: Receiver<Event>,
         output: O,
-        voters: usize,
+        repair: RepairSettings,
         may_vote: Vec<String>,
     ) -> Self {
         let state = &replica.log().snapshot().state;
@@ -158,7 +159,7 @@
             clock,
             rx,
             output,
-            voters,
+            repair,
             may_vote,
             pending_proposals: BTreeMap::new(),
             contacts: Contacts::default(),
@@ -417,7 +418,7 @@
             return;
         }
         let known = self.contacts.statuses(now, since, &self.replica, &self.may_vote);
-        let Some(next) = plan_repair(self.replica.members(), self.voters, &known) else { return };
+        let Some(next) = plan_repair(self.replica.members(), &self.repair, &known) else { return };
         let members = self.replica.members();
         let added = next.all().any(|id| !members.contains(id));
         if self.replica.change_members(now, next.clone()).is_ok() {
--- a/crates/log/src/handle.rs
+++ b/crates/log/src/handle.rs
@@ -52,10 +52,10 @@
 const BATCHES_QUEUED_MAX: usize = 64;
 /// Timeout of one call that sends a batch or a hello.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
-/// Interval between two rounds of hello calls of a replica whose log has entries.
+/// Interval between two rounds of hello calls of a replica that knows a leader.
 const HELLO_INTERVAL: Duration = Duration::from_secs(5);
-/// Interval between two rounds of hello calls of a replica with an empty log.
-const HELLO_INTERVAL_EMPTY_LOG: Duration = Duration::from_millis(1000);
+/// Interval between two rounds of hello calls of a replica that knows none.
+const HELLO_INTERVAL_NO_LEADER: Duration = Duration::from_millis(1000);
 /// Delay between two attempts of a proposal.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Timeout of one attempt of a proposal at one instance.
@@ -186,7 +186,7 @@
         }
         let replica = Replica::new(id, hard, log, commit, clock.now(), rand::random::<u64>());
         let may_vote = cfg.may_vote.clone();
-        LogDriver::new(replica, journal, clock, events, self.clone(), cfg.voters, may_vote)
+        LogDriver::new(replica, journal, clock, events, self.clone(), cfg.repair, may_vote)
     }
 
     fn reopen(&self) -> Opened {
@@ -421,8 +421,7 @@
         loop {
             let mut empty_initial_voters = Vec::new();
             let mut learners = Vec::new();
-            for p in self.all_peers() {
-                let Some(reply) = self.send_hello(&p).await else { continue };
+            for (p, reply) in self.send_hellos().await {
                 if reply.identity == 0 || reply.has_log {
                     continue;
                 }
@@ -436,10 +435,29 @@
             if is_first && all_empty && !has_log {
                 self.bootstrap(empty_initial_voters, learners);
             }
-            sleep(if has_log { HELLO_INTERVAL } else { HELLO_INTERVAL_EMPTY_LOG }).await;
+            let has_leader = self.view().is_some_and(|v| v.leader.is_some());
+            sleep(if has_leader { HELLO_INTERVAL } else { HELLO_INTERVAL_NO_LEADER }).await;
         }
     }
 
+    /// Sends hello calls to all peers at the same time and returns the replies.
+    async fn send_hellos(&self) -> Vec<(Peer, HelloReply)> {
+        let mut calls = Vec::new();
+        for peer in self.all_peers() {
+            let handle = self.clone();
+            let call = async move {
+                let reply = handle.send_hello(&peer).await?;
+                Some((peer, reply))
+            };
+            calls.push(self.shared.rt.spawn_task(call));
+        }
+        let mut replies = Vec::new();
+        for call in calls {
+            replies.extend(call.await);
+        }
+        replies
+    }
+
     fn bootstrap(&self, others: Vec<ReplicaId>, learners: Vec<ReplicaId>) {
         let (Some(id), Some(events)) = (self.shared.id, &self.shared.events) else { return };
         let voters = std::iter::once(id).chain(others).collect();
@@ -463,11 +481,17 @@
         Some(reply)
     }
 
-    /// Adds a peer reported by another instance, unless it is known or its address is invalid.
+    /// Adds a peer reported by another instance, unless it is known or its address is invalid, and
+    /// sends it a hello call at once: it may be the leader, which admits new replicas.
     fn add_reported_peer(&self, name: &str, address: &str) {
-        let known = self.peer(name).is_some();
-        if let (false, Ok(address)) = (known, address.parse()) {
-            self.add_peer(PeerSettings { name: name.to_owned(), address, voter: false });
+        let known = name == self.shared.cfg.name || self.peer(name).is_some();
+        let (false, Ok(address)) = (known, address.parse()) else { return };
+        self.add_peer(PeerSettings { name: name.to_owned(), address, voter: false });
+        if let (Some(_), Some(peer)) = (self.shared.id, self.peer(name)) {
+            let handle = self.clone();
+            self.shared.rt.spawn(async move {
+                handle.send_hello(&peer).await;
+            });
         }
     }
 
--- a/crates/log/src/settings.rs
+++ b/crates/log/src/settings.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use crocustally_core::raft::RepairSettings;
+
 /// Another instance that takes part in the replicated log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerSettings {
@@ -30,8 +32,8 @@
     pub peers: Vec<PeerSettings>,
     /// Whether this instance is an initial voter when the log is bootstrapped.
     pub initial_voter: bool,
-    /// Target number of voters.
-    pub voters: usize,
+    /// Target number of voters, and the time for the replacement of a lost one.
+    pub repair: RepairSettings,
     /// Names of the instances that may become voters; empty allows any instance with a disk.
     pub may_vote: Vec<String>,
 }
