Policy: engines with impossible figures are refused

Operators saw (read in the code, report of other operators): a policy whose engine has no slots, or a time out of range, was acknowledged; each gateway's fetch of it panicked and left `fetching_policy` set, so no later policy took effect there.

Cause: figures were checked for their type only; Duration::from_secs_f64 and clamp(1, 0) panic. Fix: EngineSpec::impossible_figure, a 400 to the operator; a guard ends a fetch in whatever way.

--- a/crates/core/src/traffic/engine.rs
+++ b/crates/core/src/traffic/engine.rs
@@ -35,7 +35,34 @@
     pub expert_copy_time: Duration,
 }
 
+/// Longest time of a step or a copy that can be meant.
+const TIME_MAX: Duration = Duration::from_secs(3600);
+/// Largest number of experts in a set, limited by [`ExpertId`](crate::experts::ExpertId).
+const EXPERTS_MAX: usize = 1 << 16;
+/// Largest number of layer sets, more than any model has layers.
+const LAYER_SETS_MAX: usize = 4096;
+/// Largest number of steps in a pass.
+const STEPS_PER_PASS_MAX: u32 = 4096;
+
 impl EngineSpec {
+    /// Names a figure that no engine can have, if there is one. Times computed from the others are
+    /// finite.
+    pub fn impossible_figure(&self) -> Option<&'static str> {
+        let times = [self.step_time, self.step_time_per_request, self.expert_copy_time];
+        let checks = [
+            (self.slots > 0, "number of slots"),
+            (times.iter().all(|t| *t <= TIME_MAX), "time of a step or a copy"),
+            (self.prefill_tokens_per_s == 0.0 || self.prefill_tokens_per_s >= 1.0, "prefill rate"),
+            ((1..=STEPS_PER_PASS_MAX).contains(&self.steps_per_pass), "number of steps in a pass"),
+            ((0.0..=1.0).contains(&self.expert_share), "share of the experts"),
+            (self.layer_sets <= LAYER_SETS_MAX, "number of layer sets"),
+            (self.experts_per_set <= EXPERTS_MAX, "number of experts"),
+            (self.layer_sets == 0 || self.experts_per_set > 0, "number of experts"),
+            (self.expert_slots_per_set <= EXPERTS_MAX, "number of expert slots"),
+        ];
+        checks.iter().find(|(possible, _)| !possible).map(|(_, figure)| *figure)
+    }
+
     /// Time of a forward pass in which every rank decodes `requests` requests and prefills
     /// `prompt_tokens` tokens, and the most loaded rank has `skew` times the mean expert load.
     pub fn pass_time(&self, requests: f64, prompt_tokens: f64, skew: f64) -> Duration {
--- a/crates/core/src/traffic/error.rs
+++ b/crates/core/src/traffic/error.rs
@@ -34,6 +34,13 @@
         /// Name of the route.
         route: String,
     },
+    /// A figure of a service's engines is out of range.
+    InvalidEngine {
+        /// Name of the service.
+        service: String,
+        /// What is out of range.
+        figure: &'static str,
+    },
     /// Two workspaces have the same API key.
     DuplicateKey {
         /// Name of the second workspace.
@@ -56,6 +63,9 @@
             Self::InvalidPrefix { route } => {
                 write!(f, "the prefix of route {route:?} does not begin and end with a slash")
             }
+            Self::InvalidEngine { service, figure } => {
+                write!(f, "the {figure} of the engines of service {service:?} is out of range")
+            }
             Self::DuplicateKey { workspace } => {
                 write!(f, "a key of workspace {workspace:?} belongs to another one as well")
             }
--- a/crates/core/src/traffic/policy.rs
+++ b/crates/core/src/traffic/policy.rs
@@ -84,6 +84,11 @@
                 return Err(PolicyError::DuplicateRoute { route: r.name.clone() });
             }
         }
+        for s in &services {
+            if let Some(figure) = s.engine.as_ref().and_then(EngineSpec::impossible_figure) {
+                return Err(PolicyError::InvalidEngine { service: s.name.clone(), figure });
+            }
+        }
         let mut by_key = HashMap::new();
         for (i, w) in workspaces.iter().enumerate() {
             for key in &w.keys {
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -206,6 +206,7 @@
     drop(fleet);
     let gateway = gateway.clone();
     gateway.rt.clone().spawn(async move {
+        let _fetch = PolicyFetch(gateway.clone());
         loop {
             let version = gateway.fleet().newest_policy_version;
             if version <= gateway.policy().map_or(0, |p| p.version()) {
@@ -226,10 +227,18 @@
                 break;
             }
         }
-        gateway.fleet().fetching_policy = false;
     });
 }
 
+/// A running fetch of the policy. The next one may start once it is dropped, in whatever way it ended.
+struct PolicyFetch(Arc<Gateway>);
+
+impl Drop for PolicyFetch {
+    fn drop(&mut self) {
+        self.0.fleet().fetching_policy = false;
+    }
+}
+
 /// Fetches the policy document from one control instance after another. Each gateway starts with
 /// another one, so that all links carry a part.
 async fn fetch_from_any(gateway: &Arc<Gateway>, version: u64) -> Option<PolicyDocument> {
