Control: impossible reports of a rank cost only themselves

A rank that reported 3,000,000 ranks made the coordinator allocate for all of them and forget the group; experts out of range made the task of each later report panic in LayerMap::add; a rank or size of 2^32 was cut to 0.

Fix: GroupSettings::admits checks a report before anything of it is kept; numbers that do not fit are malformed. A line and a counter for each.

--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -205,13 +205,22 @@
             };
             self.ranks.handover().record_outcome(now, target, &order, outcome);
         }
+        let reading = to_rank_reading(load, report);
+        if !reading.is_some_and(|r| self.ranks.report(now, r)) {
+            log::warn!(
+                group = load.group.as_str(), rank = report.rank, size = report.size,
+                agent = report.agent.as_str();
+                "impossible report of a rank"
+            );
+            metrics::counter!("crocustally_odd_entries", "kind" => "rank").increment(1);
+            return;
+        }
         if self.engines.len() != report.size as usize {
             self.engines = vec![String::new(); report.size as usize];
         }
         if let Some(engine) = self.engines.get_mut(rank) {
             engine.clone_from(&report.address);
         }
-        self.ranks.report(now, to_rank_reading(load, report));
         if let Some((version, plan)) = self.ranks.plan(now) {
             log::info!(
                 group = load.group.as_str(), epoch = load.epoch, version = version,
@@ -305,10 +314,12 @@
     );
 }
 
-fn to_rank_reading(load: &wire::RankLoad, report: &wire::RankReport) -> RankReading {
+/// Decodes a report; `None` if it names an expert that has no identity.
+fn to_rank_reading(load: &wire::RankLoad, report: &wire::RankReport) -> Option<RankReading> {
     let nonzero = |version: u64| (version > 0).then_some(version);
-    let ids = |l: &wire::ExpertList| l.experts.iter().map(|e| ExpertId(*e as u16)).collect();
-    RankReading {
+    let id = |e: &u32| u16::try_from(*e).ok().map(ExpertId);
+    let ids = |l: &wire::ExpertList| l.experts.iter().map(id).collect::<Option<Vec<ExpertId>>>();
+    Some(RankReading {
         status: RankStatus {
             rank: report.rank as usize,
             size: report.size as usize,
@@ -325,8 +336,8 @@
             to: report.counted_to,
             counts: report.counts.clone(),
         }),
-        experts: report.experts.iter().map(ids).collect(),
-    }
+        experts: report.experts.iter().map(ids).collect::<Option<_>>()?,
+    })
 }
 
 fn to_wire(number: u64, address: String, epoch: u64, order: &RankOrder) -> wire::RankOrder {
--- a/crates/control/src/soft_state.rs
+++ b/crates/control/src/soft_state.rs
@@ -91,7 +91,7 @@
     /// Records the load of a rank.
     pub(crate) fn record_rank_load(&mut self, now: Instant, load: &RankLoad) {
         let Ok(address) = load.address.parse() else { return };
-        let requests = load.running + load.queued;
+        let requests = load.running.saturating_add(load.queued).min(u32::MAX / 2);
         let load = ObservedLoad { at: now, load: requests * 2 + u32::from(load.open), sent: false };
         self.rank_loads.insert(address_key(&address), load);
     }
--- a/crates/core/src/experts/group.rs
+++ b/crates/core/src/experts/group.rs
@@ -61,6 +61,24 @@
 /// its copies no longer match the popularity of the experts.
 const REPLAN_SKEW_GROWTH: f64 = 1.4;
 
+/// Largest number of ranks in a group; groups of 256 are planned for.
+const RANKS_MAX: usize = 4096;
+
+impl GroupSettings {
+    /// Whether a report can be that of a rank of this group.
+    pub fn admits(&self, reading: &RankReading) -> bool {
+        let status = &reading.status;
+        let in_set = |experts: &Vec<ExpertId>| {
+            experts.len() <= self.experts && experts.iter().all(|e| usize::from(e.0) < self.experts)
+        };
+        let known_sets = reading.experts.is_empty() || reading.experts.len() == self.sets;
+        (1..=RANKS_MAX).contains(&status.size)
+            && status.rank < status.size
+            && known_sets
+            && reading.experts.iter().all(in_set)
+    }
+}
+
 impl RankGroup {
     /// Creates the group for the coordinator that owns `block`.
     pub fn new(cfg: GroupSettings, block: VersionBlock) -> Self {
@@ -81,13 +99,17 @@
         &mut self.handover
     }
 
-    /// Processes the report of a rank.
-    pub fn report(&mut self, now: Instant, reading: RankReading) {
+    /// Processes the report of a rank, unless [`GroupSettings::admits`] refuses it; returns whether it
+    /// was admitted.
+    pub fn report(&mut self, now: Instant, reading: RankReading) -> bool {
+        if !self.cfg.admits(&reading) {
+            return false;
+        }
         let RankReading { status, selections, experts } = reading;
         let (rank, size, epoch, map) = (status.rank, status.size, status.epoch, status.map);
         self.handover.report(now, status);
-        if rank >= size || epoch < self.epoch {
-            return;
+        if epoch < self.epoch {
+            return true;
         }
         if epoch > self.epoch || self.rank_experts.len() != size {
             self.epoch = epoch;
@@ -102,6 +124,7 @@
             let demand = self.demand.get_or_insert_with(|| Demand::new(sets, experts, size));
             demand.add(&selections);
         }
+        true
     }
 
     /// Whether the experts of a rank that uses map `map` are known. Without those of all ranks nothing
