Control: an odd heartbeat leaves sound endpoints in use

Callers saw: after one heartbeat of an unknown service with a sound endpoint's address and a later start, all requests of the sound one's route were refused (2003). Entries without `version`, with port 0, no slots or integers beyond 2^53 - 1 were taken for a runner's.

Cause: a value was checked for its type and used for its size. Ruled out: nesting of 20,000 levels and ports above 65,535 were refused before.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use crocustally_core::fleet::Heartbeat;
+use crocustally_core::fleet::HeartbeatState;
 use crocustally_core::fleet::RegistryChange;
 use crocustally_net::ResponseBody;
 use crocustally_wire::Evacuation;
@@ -41,6 +42,7 @@
         ControlRequest::Heartbeat(beat) => control.record_heartbeat(beat),
         ControlRequest::MalformedHeartbeat => {
             log::warn!(path = head.uri.path(), bytes = body.len(); "malformed heartbeat");
+            metrics::counter!("crocustally_odd_entries", "kind" => "heartbeat").increment(1);
             ControlResponse::Invalid("the heartbeat cannot be read".to_owned())
         }
         ControlRequest::Leave { id, born_ms } => control.deregister(&id, born_ms),
@@ -54,6 +56,14 @@
 
 impl Control {
     fn record_heartbeat(&self, beat: Heartbeat) -> ControlResponse {
+        // One that leaves is recorded all the same: other instances may know its service.
+        if beat.state == HeartbeatState::Ready && !self.has_service(&beat.service) {
+            let (endpoint, service) = (beat.id.as_str(), beat.service.as_str());
+            log::warn!(endpoint = endpoint, service = service; "heartbeat of an unknown service");
+            metrics::counter!("crocustally_odd_entries", "kind" => "service").increment(1);
+            // This instance may lag behind the policy, so the endpoint should try another one.
+            return ControlResponse::Unavailable;
+        }
         let now = self.clock.now();
         let logged = beat.clone();
         let change = self.soft_state().record_heartbeat(now, beat);
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -146,6 +146,12 @@
         self.state_machine.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Whether the applied policy has a service of this name; true for any name before the first one.
+    pub(crate) fn has_service(&self, name: &str) -> bool {
+        let policy = self.policy.read().unwrap_or_else(PoisonError::into_inner);
+        policy.as_deref().is_none_or(|p| p.services().iter().any(|s| s.name == name))
+    }
+
     /// Whether this instance has applied any of the replicated log.
     pub fn is_ready(&self) -> bool {
         self.state_machine().last_applied() > 0
--- a/crates/core/src/fleet/heartbeat.rs
+++ b/crates/core/src/fleet/heartbeat.rs
@@ -77,7 +77,7 @@
             sequence: self.sequence,
             slots: self.slots,
             state: self.state.number(),
-            cold_ms: self.cold_remaining.as_millis() as u32,
+            cold_ms: self.cold_remaining.as_millis().min(u128::from(u32::MAX)) as u32,
             age_ms: age.as_millis().min(u128::from(u32::MAX)) as u32,
         }
     }
