Gateway: requests late in the grace of a stop are finished or refused

Cause: `grace_s` was read and used by nothing. A request whose head was read is passed on whenever its body is complete, and each one is waited for up to its own deadline.

Left open: streams under way at the end.

--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -607,7 +607,8 @@
         fleet.requests / self.mean_hold().as_secs_f64().max(1e-3)
     }
 
-    fn mean_hold(&self) -> Duration {
+    /// Mean time for which a request holds an endpoint's slot.
+    pub fn mean_hold(&self) -> Duration {
         self.hold_ms.mean().map_or(HOLD_DEFAULT, |ms| Duration::from_secs_f64(ms / 1e3))
     }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,6 +1,9 @@
 //! [`Exchange`]: a caller's request in progress, and its [`AccessLogEntry`].
 
 use std::sync::Arc;
+use std::sync::OnceLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -49,6 +52,15 @@
 /// which has already used up part of its time.
 const CALLER_RETRY_MARGIN: Duration = Duration::from_millis(250);
 
+/// What is known of a request whose processing may be given up at any moment.
+#[derive(Debug, Default)]
+pub(crate) struct Progress {
+    /// Its id, once its head is decoded.
+    pub(crate) id: OnceLock<String>,
+    /// Whether an endpoint may have executed it.
+    pub(crate) may_have_run: AtomicBool,
+}
+
 /// A decoded request with its route, slot pool and deadline.
 pub(crate) struct Exchange {
     pub(crate) gateway: Arc<Gateway>,
@@ -73,6 +85,7 @@
     pub(crate) unopened: usize,
     /// Number of sends that an endpoint may have executed.
     pub(crate) executions: u32,
+    pub(crate) progress: Arc<Progress>,
     pub(crate) access_log: AccessLogEntry,
     pub(crate) _request_guard: RequestGuard,
 }
@@ -205,6 +218,7 @@
     }
 
     fn end_attempt(&mut self, slot: Slot, outcome: RequestOutcome) {
+        self.progress.may_have_run.store(self.executions > 0, Ordering::Release);
         let took = self.now().saturating_duration_since(slot.sent_at);
         self.access_log.tries.push((slot.endpoint.clone(), took, outcome));
         if outcome == RequestOutcome::Broken && self.meta.shared_parts.is_empty() {
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -1,6 +1,7 @@
 //! Entry point of callers' requests: decoding, authorization and routing.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,6 +13,7 @@
 use crocustally_net::ResponseBody;
 use crocustally_net::full_body;
 use crocustally_net::timeout;
+use futures_lite::future;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -27,6 +29,7 @@
 use crate::RequestHead;
 use crate::exchange::AccessLogEntry;
 use crate::exchange::Exchange;
+use crate::exchange::Progress;
 use crate::stream;
 use crate::unary;
 
@@ -39,6 +42,9 @@
 const POLICY_WAIT_DIVISOR: u32 = 4;
 /// `Retry-After` of a request that was rejected since the gateway has no policy yet.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(1000);
+/// `Retry-After` of a request that a stopping gateway has not run. Its caller's next connection goes to
+/// another gateway.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// Serves the readiness check.
 pub(crate) async fn handle_readiness(
@@ -58,17 +64,35 @@
     gateway: Arc<Gateway>,
     req: Request<Incoming>,
 ) -> Response<ResponseBody> {
-    let mut response = match admit(&gateway, req).await {
-        Ok(ex) if ex.route.kind.is_stream() => stream::serve(ex).await,
-        Ok(ex) => unary::serve(ex).await,
-        Err(rejection) => *rejection,
+    let progress = Arc::new(Progress::default());
+    let serving = async {
+        match admit(&gateway, req, &progress).await {
+            Ok(ex) if ex.route.kind.is_stream() => stream::serve(ex).await,
+            Ok(ex) => unary::serve(ex).await,
+            Err(rejection) => *rejection,
+        }
     };
+    let given_up = async {
+        gateway.grace_over().await;
+        give_up(&gateway, &progress)
+    };
+    let mut response = future::or(serving, given_up).await;
     if gateway.shutdown.is_requested() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
 }
 
+/// Response to a request that is not answered when the grace of a stop ends.
+fn give_up(gateway: &Gateway, progress: &Progress) -> Response<ResponseBody> {
+    let id = progress.id.get().map(String::as_str);
+    let may_have_run = progress.may_have_run.load(Ordering::Acquire);
+    let code = if may_have_run { Code::AnswerBroken } else { Code::EntryLeaving };
+    log::warn!(id = id, code = code.number(); "request given up: the grace of the stop ends");
+    let retry_after = (!may_have_run).then_some(STOPPING_RETRY_AFTER);
+    gateway.dialect.error_response(id, code, retry_after)
+}
+
 type Rejection = Box<Response<ResponseBody>>;
 
 /// Route and workspace of an authorized request; the workspace comes with its priority.
@@ -77,7 +101,11 @@
     workspace: Option<(String, Option<u8>)>,
 }
 
-async fn admit(gateway: &Arc<Gateway>, req: Request<Incoming>) -> Result<Exchange, Rejection> {
+async fn admit(
+    gateway: &Arc<Gateway>,
+    req: Request<Incoming>,
+    progress: &Arc<Progress>,
+) -> Result<Exchange, Rejection> {
     let arrived = gateway.clock.now();
     let request_guard = gateway.shutdown.track_request();
     let (head, body) = req.into_parts();
@@ -90,6 +118,7 @@
     let Ok(meta) = gateway.dialect.decode_request(&head) else {
         return Err(reject(None, Code::BadFraming, None));
     };
+    progress.id.get_or_init(|| meta.id.clone());
     let time_limit = meta.timeout.unwrap_or(POLICY_WAIT_MAX * POLICY_WAIT_DIVISOR);
     let policy_wait = POLICY_WAIT_MAX.min(time_limit / POLICY_WAIT_DIVISOR);
     let Some(policy) = gateway.wait_for_policy(policy_wait).await else {
@@ -111,6 +140,10 @@
     };
     let slot_pool = gateway.pool(&service);
     let time_limit = meta.timeout.map_or(route.timeout, |t| t.min(route.timeout));
+    let time_left = (arrived + time_limit).saturating_duration_since(gateway.clock.now());
+    if !gateway.can_finish(&route, &slot_pool, time_left) {
+        return Err(reject(Some(&meta.id), Code::EntryLeaving, Some(STOPPING_RETRY_AFTER)));
+    }
     let priority = workspace.as_ref().and_then(|(_, priority)| *priority);
     Ok(Exchange {
         access_log: AccessLogEntry {
@@ -148,6 +181,7 @@
         earlier: EarlierSends::None,
         unopened: 0,
         executions: 0,
+        progress: progress.clone(),
         _request_guard: request_guard,
     })
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,6 +19,8 @@
 use crocustally_core::dispatch::LimiterSettings;
 use crocustally_core::dispatch::PoolSettings;
 use crocustally_core::fleet::Registry;
+use crocustally_core::traffic::Route;
+use crocustally_core::traffic::RouteKind;
 use crocustally_core::traffic::ServicePolicy;
 use crocustally_core::traffic::TrafficPolicy;
 use crocustally_net::Abandonment;
@@ -57,6 +59,12 @@
 /// after two missed health checks, one second apart.
 const SHUTDOWN_DRAIN_DELAY: Duration = Duration::from_millis(2500);
 
+/// Part of the grace of a stop after which no request is waited for any longer; the rest is for the last
+/// responses.
+const ANSWERED_SHARE: f64 = 0.95;
+/// Multiple of the mean time that a request of a service takes, within which most of them end.
+const USUAL_HOLDS: u32 = 2;
+
 /// Time after the start in which a gateway discovers all endpoints: an election, the first updates
 /// and the usual heartbeat interval.
 const DISCOVERY_TIME: Duration = Duration::from_secs(3);
@@ -164,7 +172,7 @@
             header_timeout: IDLE_TIMEOUT,
             header_bytes: 64 * 1024,
             coded_errors: false,
-            drain_delay: SHUTDOWN_DRAIN_DELAY,
+            drain_delay: SHUTDOWN_DRAIN_DELAY.min(gateway.cfg.grace / 2),
             ..HttpLimits::default()
         };
         let shared = gateway.clone();
@@ -188,6 +196,27 @@
         self.policy().is_some() && !self.shutdown.is_requested()
     }
 
+    /// Time after the request of a stop at which the last responses are sent.
+    fn answer_time(&self) -> Duration {
+        self.cfg.grace.mul_f64(ANSWERED_SHARE)
+    }
+
+    /// Waits until the last responses of a stop are due.
+    pub(crate) async fn grace_over(&self) {
+        self.shutdown.wait_elapsed(self.answer_time()).await;
+    }
+
+    /// Whether a request that may take `time_limit` can be finished before the process is stopped. One
+    /// that must not be repeated has to be finished in any case, others usually.
+    pub(crate) fn can_finish(&self, route: &Route, pool: &SlotPool, time_limit: Duration) -> bool {
+        let Some(elapsed) = self.shutdown.elapsed() else { return true };
+        let expected = match route.kind {
+            RouteKind::AtMostOnce => time_limit,
+            _ => time_limit.min(pool.with_pool(|p| p.mean_hold()) * USUAL_HOLDS),
+        };
+        elapsed + expected <= self.answer_time()
+    }
+
     /// Follows control instances that reloaded settings add.
     pub fn follow(self: &Arc<Self>, controls: &[SocketAddr]) {
         feed::follow_all(self, controls);
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -3,6 +3,7 @@
 use std::error::Error as _;
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -108,6 +109,7 @@
     // A pooled connection may break while sending, and then it is unknown whether the request was
     // executed. Requests that must not be repeated get a new connection.
     let new_connection = !ex.route.kind.is_retryable();
+    ex.progress.may_have_run.store(true, Ordering::Release);
     let (response, conn) = match timeout(time_limit, client.send(req, new_connection)).await {
         None => {
             client.discard_idle();
--- a/crates/net/src/shutdown.rs
+++ b/crates/net/src/shutdown.rs
@@ -128,6 +128,11 @@
         }
     }
 
+    /// Time since the shutdown was requested, if it was.
+    pub fn elapsed(&self) -> Option<Duration> {
+        self.inner.requested_at.get().map(Instant::elapsed)
+    }
+
     /// Waits until `delay` has passed since the shutdown was requested, regardless of when this is
     /// called.
     pub async fn wait_elapsed(&self, delay: Duration) {
