--- a/crates/net/src/data_folder.rs
+++ b/crates/net/src/data_folder.rs
@@ -40,8 +40,8 @@
     /// [`Code::LogDamaged`] if the stored identity is not a number, [`Code::DiskFailed`] if a new
     /// one cannot be stored.
     pub fn identity(&self, generate: impl FnOnce() -> u64) -> Result<ReplicaId, Code> {
-        let file = self.path.join("identity");
-        if let Ok(text) = fs::read_to_string(&file) {
+        if let Some(buf) = self.read("identity")? {
+            let text = String::from_utf8(buf).map_err(|_| Code::LogDamaged)?;
             let id = text.trim().parse().map_err(|_| Code::LogDamaged)?;
             return Ok(ReplicaId(id));
         }
@@ -50,6 +50,23 @@
         Ok(ReplicaId(id))
     }
 
+    /// Reads a file; `None` if there is none of this name.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::DiskFailed`] if it cannot be read.
+    pub fn read(&self, name: &str) -> Result<Option<Vec<u8>>, Code> {
+        match fs::read(self.path.join(name)) {
+            Ok(buf) => Ok(Some(buf)),
+            Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(None),
+            Err(e) => {
+                let folder = self.path.display().to_string();
+                log::error!(folder = folder.as_str(), file = name; "cannot read: {e}");
+                Err(Code::DiskFailed)
+            }
+        }
+    }
+
     /// Replaces a file atomically: after a crash it has either its old or its new content.
     ///
     /// # Errors
--- a/crates/net/src/journal.rs
+++ b/crates/net/src/journal.rs
@@ -1,6 +1,5 @@
 //! [`Journal`]: the write-ahead log and the snapshot of one replica, on disk.
 
-use std::fs;
 use std::fs::File;
 use std::fs::OpenOptions;
 use std::io::Write;
@@ -72,7 +71,7 @@
     pub fn open(folder: DataFolder) -> Result<(Self, Recovered), JournalError> {
         let snapshot = read_snapshot(&folder)?;
         let path = folder.path().join(LOG_FILE);
-        let buf = fs::read(&path).unwrap_or_default();
+        let buf = read(&folder, LOG_FILE)?.unwrap_or_default();
         let mut recovered = Recovered::default();
         let mut entries: Vec<Entry> = Vec::new();
         let mut at = 0;
@@ -159,9 +158,14 @@
     }
 }
 
+fn read(folder: &DataFolder, name: &str) -> Result<Option<Vec<u8>>, JournalError> {
+    let failed = |code| JournalError { code, file: folder.path().join(name), offset: 0 };
+    folder.read(name).map_err(failed)
+}
+
 fn read_snapshot(folder: &DataFolder) -> Result<Snapshot, JournalError> {
     let file = folder.path().join(SNAPSHOT_FILE);
-    let Ok(buf) = fs::read(&file) else { return Ok(Snapshot::default()) };
+    let Some(buf) = read(folder, SNAPSHOT_FILE)? else { return Ok(Snapshot::default()) };
     let frame = unframe(&buf, 0).filter(|(_, next)| *next == buf.len());
     let decoded = frame.and_then(|(payload, _)| wire::Snapshot::decode(payload).ok());
     let snapshot = decoded.and_then(|s| Snapshot::try_from(s).ok());
--- a/crates/net/tests/journal.rs
+++ b/crates/net/tests/journal.rs
@@ -120,3 +120,28 @@
     let _open = DataFolder::open(&f.0).unwrap();
     assert_eq!(DataFolder::open(&f.0).unwrap_err(), Code::FolderLocked);
 }
+
+/// Guards against a log, a snapshot or an identity that cannot be read and counts as absent: the log
+/// was cut to nothing, and the replica took another identity.
+#[test]
+fn unreadable_files_fail_open() {
+    for name in ["log", "snapshot"] {
+        let f = Folder::new(&format!("unreadable-{name}"));
+        let path = write_log(&f);
+        // A folder in the place of a file is found and cannot be read, for any user.
+        fs::rename(&path, f.0.join("log.kept")).unwrap();
+        fs::create_dir(f.0.join(name)).unwrap();
+        let e = f.open().unwrap_err();
+        assert_eq!((e.code, e.file), (Code::DiskFailed, f.0.join(name)));
+    }
+    let f = Folder::new("unreadable-identity");
+    fs::create_dir_all(f.0.join("identity")).unwrap();
+    let folder = DataFolder::open(&f.0).unwrap();
+    let generated = std::cell::Cell::new(false);
+    let identity = folder.identity(|| {
+        generated.set(true);
+        1
+    });
+    assert_eq!(identity, Err(Code::DiskFailed));
+    assert!(!generated.get(), "a new identity was made up for a disk that has one");
+}
