--- a/crates/daemons/tests/core_losses.rs
+++ b/crates/daemons/tests/core_losses.rs
@@ -24,6 +24,7 @@
 use crocustally_net::timeout;
 use deployment::CONTROLS;
 use deployment::Deployment;
+use futures_lite::future;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
@@ -57,6 +58,8 @@
     Down(Duration),
     /// Stopped by a signal and continued after the time.
     Frozen(Duration),
+    /// Its files take no more bytes for the time.
+    DiskFull(Duration),
     /// Stopped with SIGTERM, and started again after the time.
     Stopped(Duration),
 }
@@ -171,10 +174,18 @@
     let mut outcome = Ok(());
     for (i, loss) in &losses {
         log.push(format!("{loss:?} {i}"));
-        lose(&mut d, *i, *loss).await;
+        let others: Vec<SocketAddr> =
+            (0..CONTROLS).filter(|c| c != i).map(|c| d.control(c)).collect();
+        let during = async {
+            loop {
+                // Nothing has to be answered in this time, and what is acknowledged has to stay.
+                let _ = op.put(&others, Duration::from_millis(300)).await;
+                sleep(Duration::from_millis(200)).await;
+            }
+        };
+        future::or(lose(&mut d, *i, *loss), during).await;
         let counted_until = Instant::now() + CATCH_UP;
         while Instant::now() < counted_until {
-            // Nothing has to be answered in this time, and what is acknowledged has to stay.
             let _ = op.put(&controls(&d), Duration::from_millis(300)).await;
             sleep(Duration::from_millis(200)).await;
         }
@@ -215,6 +226,11 @@
             sleep(after).await;
             d.signal(i, Signal::CONT);
         }
+        Loss::DiskFull(after) => {
+            d.set_disk_full(i, true);
+            sleep(after).await;
+            d.set_disk_full(i, false);
+        }
         Loss::Stopped(after) => {
             d.signal(i, Signal::TERM);
             sleep(after).await;
@@ -235,6 +251,16 @@
     assert!(played.is_ok(), "{}", played.unwrap_err());
 }
 
+/// Guards against changes that are refused long after the disks of all instances, full one after the
+/// other, have room again.
+#[test]
+fn configuration_changes_while_disks_are_full_in_turn() {
+    let rt = Runtime::start(2);
+    let losses = (0..CONTROLS).map(|i| (i, Loss::DiskFull(Duration::from_secs(3)))).collect();
+    let played = async_io::block_on(play(&rt, 251, losses));
+    assert!(played.is_ok(), "{}", played.unwrap_err());
+}
+
 /// Guards against orders of losses of all kinds after which the configuration does not come.
 #[test]
 fn configuration_is_read_back_after_drawn_losses() {
@@ -248,11 +274,12 @@
             let i = rng.random_range(0..CONTROLS);
             let short = Duration::from_millis(rng.random_range(100..2000));
             let long = Duration::from_millis(rng.random_range(100..6000));
-            let loss = match rng.random_range(0..8) {
+            let loss = match rng.random_range(0..9) {
                 0..3 => Loss::Replaced(short),
                 3 | 4 => Loss::DiskLost(short),
                 5 => Loss::Down(long),
                 6 => Loss::Frozen(long),
+                7 => Loss::DiskFull(long),
                 _ => Loss::Stopped(long),
             };
             (i, loss)
--- a/crates/daemons/tests/soak/deployment.rs
+++ b/crates/daemons/tests/soak/deployment.rs
@@ -13,8 +13,11 @@
 use crocustally_fleet::TcpRelay;
 use crocustally_net::Runtime;
 use rustix::process::Pid;
+use rustix::process::Resource;
+use rustix::process::Rlimit;
 use rustix::process::Signal;
 use rustix::process::kill_process;
+use rustix::process::prlimit;
 use serde_json::json;
 
 use crate::runner::Runner;
@@ -158,8 +161,14 @@
             Kind::Control => env!("CARGO_BIN_EXE_crocustally-control"),
             Kind::Gateway => env!("CARGO_BIN_EXE_crocustally-gateway"),
         };
-        let mut command = Command::new(program);
-        command.arg("--settings").arg(&settings).stdin(Stdio::null());
+        // A file that reaches its size limit, as a full disk does here, would end the process.
+        let mut command = Command::new("env");
+        command
+            .arg("--ignore-signal=XFSZ")
+            .arg(program)
+            .arg("--settings")
+            .arg(&settings)
+            .stdin(Stdio::null());
         command.stderr(log.try_clone().unwrap()).stdout(log);
         self.processes[i].child = Some(command.spawn().unwrap());
     }
@@ -172,6 +181,15 @@
         }
     }
 
+    /// Makes the files of a process take no more bytes, its log included, or take them again.
+    pub fn set_disk_full(&self, i: usize, full: bool) {
+        let pid = self.processes[i].child.as_ref().and_then(|c| Pid::from_raw(c.id() as i32));
+        let limit = Rlimit { current: full.then_some(0), maximum: None };
+        if let Some(pid) = pid {
+            prlimit(Some(pid), Resource::Fsize, limit).unwrap();
+        }
+    }
+
     /// Kills a process and waits for its exit.
     pub fn kill(&mut self, i: usize) {
         if let Some(mut child) = self.processes[i].child.take() {
