Registry: an endpoint at another address gives the earlier one up

Cause: the map from addresses to ids kept the earlier address of an endpoint that had registered at another one; the next endpoint there displaced it for good, or was kept out by it. Fix: the earlier address is removed when its holder registers elsewhere.

--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -58,9 +58,15 @@
             Some(last) if same_state(&last.heartbeat, &heartbeat) => RegistryChange::Refreshed,
             _ => RegistryChange::Changed,
         };
+        let earlier_address = self.by_id.get(&heartbeat.id).map(|last| last.heartbeat.address);
         if !self.claim_address(&heartbeat) {
             return RegistryChange::Ignored;
         }
+        if let Some(earlier) = earlier_address.filter(|a| *a != heartbeat.address)
+            && self.by_address.get(&earlier) == Some(&heartbeat.id)
+        {
+            self.by_address.remove(&earlier);
+        }
         self.by_id
             .insert(heartbeat.id.clone(), Registration { heartbeat, received_at, replaced: false });
         change
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -130,3 +130,25 @@
     let sent = heartbeat("a", 1, 5, 1, HeartbeatState::Draining);
     assert_eq!(Heartbeat::try_from(sent.to_wire(Duration::from_millis(40))).unwrap(), sent);
 }
+
+/// Guards against sound endpoints that count as gone once others register at the addresses that they had
+/// before a restart.
+#[test]
+fn earlier_address_of_a_restarted_endpoint_is_free_for_others() {
+    for restarted_at in [6, 8] {
+        let now = Instant::now();
+        let mut registry = Registry::default();
+        registry.record_heartbeat(now, heartbeat("a", 1, 5, 1, HeartbeatState::Ready));
+        registry.record_heartbeat(now, heartbeat("a", 2, restarted_at, 1, HeartbeatState::Ready));
+        assert_eq!(registry.holder(&([10, 0, 0, 1], 1).into()), None);
+        let other = registry.record_heartbeat(now, heartbeat("b", 1, 7, 1, HeartbeatState::Ready));
+        assert_eq!(other, RegistryChange::Changed, "restarted at {restarted_at}");
+        assert_eq!(state(&registry, "a"), HeartbeatState::Ready, "restarted at {restarted_at}");
+        let next = heartbeat("a", 2, restarted_at, 2, HeartbeatState::Ready);
+        assert_eq!(registry.record_heartbeat(now, next), RegistryChange::Refreshed);
+        // One that was delayed since before the restart changes nothing.
+        let delayed = heartbeat("a", 1, 5, 9, HeartbeatState::Ready);
+        assert_eq!(registry.record_heartbeat(now, delayed), RegistryChange::Ignored);
+        assert_eq!(registry.holder(&([10, 0, 0, 1], 1).into()), Some("b"));
+    }
+}
