Control: every instance knows of a departure before it is acknowledged

Cause: the others kept the endpoint's last heartbeat as ready for 120 s and handed it to gateways that subscribed.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -39,13 +39,13 @@
     };
     let body = body.to_bytes();
     let response = match dialect.decode_request(&head.method, head.uri.path(), &body) {
-        ControlRequest::Heartbeat(beat) => control.record_heartbeat(beat),
+        ControlRequest::Heartbeat(beat) => control.record_heartbeat(beat).await,
         ControlRequest::MalformedHeartbeat => {
             log::warn!(path = head.uri.path(), bytes = body.len(); "malformed heartbeat");
             metrics::counter!("crocustally_odd_entries", "kind" => "heartbeat").increment(1);
             ControlResponse::Invalid("the heartbeat cannot be read".to_owned())
         }
-        ControlRequest::Leave { id, born_ms } => control.deregister(&id, born_ms),
+        ControlRequest::Leave { id, born_ms } => control.deregister(&id, born_ms).await,
         ControlRequest::PutPolicy => control.put_policy(body).await,
         ControlRequest::GetPolicy => control.get_policy().await,
         ControlRequest::Evacuate { domain, active } => control.evacuate(domain, active).await,
@@ -55,7 +55,7 @@
 }
 
 impl Control {
-    fn record_heartbeat(&self, beat: Heartbeat) -> ControlResponse {
+    async fn record_heartbeat(&self, beat: Heartbeat) -> ControlResponse {
         // One that leaves is recorded all the same: other instances may know its service.
         if beat.state == HeartbeatState::Ready && !self.has_service(&beat.service) {
             let (endpoint, service) = (beat.id.as_str(), beat.service.as_str());
@@ -79,13 +79,17 @@
                 state = format!("{:?}", logged.state).as_str();
                 "endpoint changed"
             );
+            if logged.state == HeartbeatState::Draining {
+                self.spread_departure(logged.to_wire(Duration::ZERO)).await;
+            }
         }
         ControlResponse::Acknowledged
     }
 
-    fn deregister(&self, id: &str, born_ms: Option<u64>) -> ControlResponse {
-        let known = self.soft_state().mark_gone(self.clock.now(), id, born_ms);
-        log::info!(endpoint = id, born = born_ms, known = known; "endpoint deregistered");
+    async fn deregister(&self, id: &str, born_ms: Option<u64>) -> ControlResponse {
+        let notice = self.soft_state().mark_gone(self.clock.now(), id, born_ms);
+        log::info!(endpoint = id, born = born_ms; "endpoint deregistered");
+        self.spread_departure(notice).await;
         ControlResponse::Acknowledged
     }
 
--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -3,6 +3,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 
+use crocustally_wire::Departure;
 use crocustally_wire::FetchPolicyRequest;
 use crocustally_wire::FollowRequest;
 use crocustally_wire::GatewayNotice;
@@ -85,6 +86,14 @@
         Ok(Response::new(NoticeAck {}))
     }
 
+    async fn depart(&self, req: Request<Departure>) -> Result<Response<NoticeAck>, Status> {
+        let Some(beat) = req.into_inner().endpoint else {
+            return Err(Status::invalid_argument("the departure names no endpoint"));
+        };
+        self.control.record_departure(beat);
+        Ok(Response::new(NoticeAck {}))
+    }
+
     async fn list_blocked(
         &self,
         _: Request<ListBlockedRequest>,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,6 +12,7 @@
 mod control;
 mod coordinator;
 mod crash_reports;
+mod departures;
 mod dialect;
 mod settings;
 mod soft_state;
--- a/crates/control/src/soft_state.rs
+++ b/crates/control/src/soft_state.rs
@@ -70,22 +70,26 @@
         change
     }
 
-    /// Marks an endpoint as gone and returns whether it was known.
+    /// Marks an endpoint as gone and returns the notice of it.
     ///
     /// This is broadcast even for an unknown endpoint, since subscribers may know it from another
     /// instance.
-    pub(crate) fn mark_gone(&mut self, now: Instant, id: &str, born_ms: Option<u64>) -> bool {
+    pub(crate) fn mark_gone(
+        &mut self,
+        now: Instant,
+        id: &str,
+        born_ms: Option<u64>,
+    ) -> EndpointBeat {
         let marked =
             self.registry.mark_gone(now, id, born_ms).map(|k| k.heartbeat.to_wire(Duration::ZERO));
-        let known = marked.is_some();
         let notice = marked.unwrap_or_else(|| EndpointBeat {
             id: id.to_owned(),
             born_ms: born_ms.unwrap_or(u64::MAX),
             state: HeartbeatState::Gone.number(),
             ..EndpointBeat::default()
         });
-        self.broadcast(Update { endpoints: vec![notice], ..Update::default() });
-        known
+        self.broadcast(Update { endpoints: vec![notice.clone()], ..Update::default() });
+        notice
     }
 
     /// Records the load of a rank.
