Net: bodies are read with a limit by every reader

Cause: `collect()` without a limit in the rank agent, the health check and the control instance; `HttpLimits::body_bytes` was enforced by nobody there.

--- a/crates/agent/src/health.rs
+++ b/crates/agent/src/health.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use crocustally_core::control::ServiceKind;
+use crocustally_net::collect_body;
 use crocustally_net::sleep;
 use crocustally_net::timeout;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
 use serde::Deserialize;
@@ -20,6 +20,8 @@
 const PROBE_INTERVAL_DOWN: Duration = Duration::from_millis(100);
 /// Timeout of one probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum length of a health report, in bytes.
+const HEALTH_BODY_MAX: usize = 1024 * 1024;
 
 /// Health report of an engine.
 #[derive(Clone, Debug, Deserialize)]
@@ -50,7 +52,7 @@
     let req = req.ok()?;
     let report = async {
         let (response, tx) = agent.client.send(req, false).await.ok()?;
-        let body = response.into_body().collect().await.ok()?.to_bytes();
+        let body = collect_body(&mut response.into_body(), HEALTH_BODY_MAX).await.ok()?;
         agent.client.put_idle(tx);
         serde_json::from_slice(&body).ok()
     };
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -8,11 +8,13 @@
 use crocustally_core::fleet::HeartbeatState;
 use crocustally_core::fleet::RegistryChange;
 use crocustally_net::ResponseBody;
+use crocustally_net::collect_body;
+use crocustally_net::timeout;
 use crocustally_wire::Evacuation;
+use crocustally_wire::POLICY_BYTES_MAX;
 use crocustally_wire::PolicyDocument;
 use crocustally_wire::command::Kind;
 use crocustally_wire::outcome::Kind as OutcomeKind;
-use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -27,17 +29,26 @@
 /// Shortest time after which an operator without a response turns to another instance.
 const OPERATOR_PATIENCE: Duration = Duration::from_secs(1);
 
+/// Time within which a caller must send the body of a call.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Handles one request.
 pub(crate) async fn handle_request(
     control: Arc<Control>,
     req: Request<Incoming>,
 ) -> Response<ResponseBody> {
-    let (head, body) = req.into_parts();
+    let (head, mut body) = req.into_parts();
     let dialect = control.dialect.clone();
-    let Ok(body) = body.collect().await else {
-        return dialect.encode_response(ControlResponse::Invalid("the body broke off".to_owned()));
+    let read = timeout(BODY_TIMEOUT, collect_body(&mut body, POLICY_BYTES_MAX)).await;
+    let body = match read {
+        Some(Ok(body)) => body,
+        failed => {
+            let cause = failed.and_then(Result::err).map(|e| e.to_string());
+            let cause = cause.unwrap_or_else(|| "the body did not arrive in time".to_owned());
+            log::warn!(path = head.uri.path(); "call not read: {cause}");
+            return dialect.encode_response(ControlResponse::Invalid(cause));
+        }
     };
-    let body = body.to_bytes();
     let response = match dialect.decode_request(&head.method, head.uri.path(), &body) {
         ControlRequest::Heartbeat(beat) => control.record_heartbeat(beat).await,
         ControlRequest::MalformedHeartbeat => {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -7,13 +7,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use crocustally_core::dispatch::RequestOutcome;
 use crocustally_net::BodyFraming;
+use crocustally_net::CollectError;
 use crocustally_net::ConnectionCheck;
 use crocustally_net::HttpClient;
 use crocustally_net::HttpConnection;
 use crocustally_net::HttpError;
+use crocustally_net::collect_body;
 use crocustally_net::timeout;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -258,7 +259,12 @@
 ) -> Result<Bytes, BodyError> {
     let limit = ex.gateway.cfg.response_bytes_max;
     let read = timeout(ex.remaining(), collect_body(&mut response.body, limit)).await;
-    let mut body = read.unwrap_or(Err(BodyError::TimedOut));
+    let mut body = match read {
+        None => Err(BodyError::TimedOut),
+        Some(Err(CollectError::TooLong)) => Err(BodyError::TooLong),
+        Some(Err(CollectError::Broken(e))) => Err(BodyError::Broken(e)),
+        Some(Ok(body)) => Ok(body),
+    };
     if body.is_ok() && !response.is_complete(ex, slot).await {
         body = Err(BodyError::EndpointEnded);
     }
@@ -268,19 +274,6 @@
     body
 }
 
-async fn collect_body(body: &mut Incoming, limit: usize) -> Result<Bytes, BodyError> {
-    // Copied, since each small chunk that is kept costs many times its length.
-    let mut collected = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(BodyError::Broken)?.into_data() else { continue };
-        if collected.len() + data.len() > limit {
-            return Err(BodyError::TooLong);
-        }
-        collected.extend_from_slice(&data);
-    }
-    Ok(collected.freeze())
-}
-
 /// Logs where and why a response broke off. `after_event` is the last complete event of a stream,
 /// `incomplete_bytes` the length of what came after it.
 pub(crate) fn log_broken_response(
--- a/crates/rank/src/agent.rs
+++ b/crates/rank/src/agent.rs
@@ -19,6 +19,7 @@
 use crocustally_net::HttpClientSettings;
 use crocustally_net::Runtime;
 use crocustally_net::Shutdown;
+use crocustally_net::collect_body;
 use crocustally_net::sleep;
 use crocustally_net::timeout;
 use crocustally_wire::ExpertList;
@@ -30,7 +31,6 @@
 use crocustally_wire::RankReport;
 use crocustally_wire::SetPlacement;
 use crocustally_wire::control_client::ControlClient;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Method;
 use hyper::Request;
@@ -59,6 +59,9 @@
 /// Timeout of a report, and the age of a report at which the orders in its reply expire.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(450);
 
+/// Maximum length of an engine's response, in bytes: several times the counters of 61 layers of 256 experts.
+const ENGINE_BODY_MAX: usize = 1024 * 1024;
+
 /// The agent of one engine.
 pub struct RankAgent {
     cfg: RankSettings,
@@ -335,7 +338,13 @@
             .ok()?;
         let (response, conn) = client.send(req, false).await.ok()?;
         let status = response.status();
-        let body = response.into_body().collect().await.ok()?.to_bytes();
+        let body = match collect_body(&mut response.into_body(), ENGINE_BODY_MAX).await {
+            Ok(body) => body,
+            Err(e) => {
+                log::warn!(engine = address.to_string().as_str(), path = path; "{e}");
+                return None;
+            }
+        };
         client.put_idle(conn);
         Some((status, body))
     }
