--- a/crates/control/src/departures.rs
+++ b/crates/control/src/departures.rs
@@ -43,7 +43,7 @@
             let call = async move {
                 let mut client = ControlClient::with_origin(channel.clone(), channel.origin());
                 let told = timeout(TELL_TIMEOUT, client.depart(departure)).await;
-                if !told.is_some_and(|reply| reply.is_ok()) {
+                if told.is_none_or(|reply| reply.is_err()) {
                     log::warn!(instance = name.as_str(); "instance not told of a departure");
                 }
             };
