Log: a policy of the largest size reaches the followers

What callers saw: a valid configuration of just under 4 MiB that does not compress was never acknowledged (503 for 12 s), and the leader lost its quorum for 0.9 s and more each time, so that other changes and reads were refused too.

Cause: gRPC's own limit of 4 MiB for a received message is not above POLICY_BYTES_MAX. The call with the entry was refused by every follower, and with it the heartbeat in the same batch.

Ruled out: the disk (no line of a slow one), the admission of the document (accepted and proposed).

Evidence: large_policies::configuration_of_the_largest_size_is_replicated (three control instances as processes) failed before: 4194303 bytes not acknowledged in 12 s, 'quorum lost' of both followers after 901 ms.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -32,6 +32,7 @@
 use crocustally_net::timeout;
 use crocustally_wire::BlockedParts;
 use crocustally_wire::LiftRequest;
+use crocustally_wire::MESSAGE_BYTES_MAX;
 use crocustally_wire::POLICY_BYTES_MAX;
 use crocustally_wire::RankOrders;
 use crocustally_wire::RankReport;
@@ -130,7 +131,8 @@
             stopping.1.wait().await;
             stopping.0.log.stop();
         });
-        let replica = ReplicaServer::new(ReplicaService::new(control.log.clone()));
+        let replica = ReplicaServer::new(ReplicaService::new(control.log.clone()))
+            .max_decoding_message_size(MESSAGE_BYTES_MAX);
         let calls = ControlServer::new(ControlService::new(control.clone()));
         let server = ServicePair::new(replica, calls);
         let peers = serve_grpc(rt, control.cfg.peer_listen, server, &shutdown).await?;
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -26,6 +26,7 @@
 use crocustally_net::Shutdown;
 use crocustally_net::serve_grpc;
 use crocustally_net::serve_http;
+use crocustally_wire::MESSAGE_BYTES_MAX;
 use crocustally_wire::entry_server::EntryServer;
 use crocustally_wire::replica_server::ReplicaServer;
 
@@ -121,7 +122,8 @@
         });
         // This listener outlives the one for callers, since peers must still reach a stopping entry
         // while its last requests finish.
-        let replica = ReplicaServer::new(ReplicaService::new(entry.log.clone()));
+        let replica = ReplicaServer::new(ReplicaService::new(entry.log.clone()))
+            .max_decoding_message_size(MESSAGE_BYTES_MAX);
         let peer_calls = EntryServer::new(PeerService::new(entry.clone()));
         let server = ServicePair::new(replica, peer_calls);
         let peers = serve_grpc(rt, entry.cfg.peer_listen, server, &shutdown).await?;
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -20,6 +20,7 @@
 use crocustally_net::timeout;
 use crocustally_wire::EndpointRecord;
 use crocustally_wire::GossipRequest;
+use crocustally_wire::MESSAGE_BYTES_MAX;
 use crocustally_wire::PullRequest;
 use crocustally_wire::TellRequest;
 use crocustally_wire::agent_client::AgentClient;
@@ -61,7 +62,8 @@
 /// Sends changed records to one peer in each round, and pulls a newer configuration if this entry
 /// has no replica of the log.
 async fn gossip_with_peer(entry: Arc<Entry>, name: String, channel: Channel) {
-    let mut client = EntryClient::with_origin(channel.clone(), channel.origin());
+    let mut client = EntryClient::with_origin(channel.clone(), channel.origin())
+        .max_decoding_message_size(MESSAGE_BYTES_MAX);
     let mut sent = SentRevisions::new();
     let mut round = 0_u64;
     loop {
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -17,6 +17,7 @@
 use crocustally_wire::FetchPolicyRequest;
 use crocustally_wire::FollowRequest;
 use crocustally_wire::LoadBatch;
+use crocustally_wire::MESSAGE_BYTES_MAX;
 use crocustally_wire::PolicyDocument;
 use crocustally_wire::Update;
 use crocustally_wire::control_client::ControlClient;
@@ -44,7 +45,8 @@
     let mut connected = false;
     loop {
         let channel = Channel::new(&gateway.rt, address);
-        let mut client = ControlClient::with_origin(channel.clone(), channel.origin());
+        let mut client = ControlClient::with_origin(channel.clone(), channel.origin())
+            .max_decoding_message_size(MESSAGE_BYTES_MAX);
         let req = FollowRequest { name: gateway.cfg.name.clone() };
         if let Ok(updates) = client.follow(req).await {
             let mut updates = updates.into_inner();
--- a/crates/log/src/handle.rs
+++ b/crates/log/src/handle.rs
@@ -32,6 +32,7 @@
 use crocustally_wire::Command;
 use crocustally_wire::HelloReply;
 use crocustally_wire::HelloRequest;
+use crocustally_wire::MESSAGE_BYTES_MAX;
 use crocustally_wire::Outcome;
 use crocustally_wire::ProposeRequest;
 use crocustally_wire::RaftBatch;
@@ -314,7 +315,7 @@
 
     async fn propose_to(&self, name: &str, command: &Bytes) -> Option<Outcome> {
         let peer = self.peer(name)?;
-        let mut client = ReplicaClient::with_origin(peer.channel.clone(), peer.channel.origin());
+        let mut client = replica_client(&peer.channel);
         let timeout_ms = ATTEMPT_TIMEOUT.as_millis() as u32;
         let req = ProposeRequest { command: command.clone(), timeout_ms };
         let reply = timeout(ATTEMPT_TIMEOUT, client.propose(req)).await?.ok()?;
@@ -400,7 +401,7 @@
 
     async fn run_sender(self, channel: Channel, rx: Receiver<(ReplicaId, Vec<Message>)>) {
         let Some(id) = self.shared.id else { return };
-        let mut client = ReplicaClient::with_origin(channel.clone(), channel.origin());
+        let mut client = replica_client(&channel);
         while let Ok((to, messages)) = rx.recv().await {
             let batch = RaftBatch {
                 from: id.0,
@@ -489,7 +490,7 @@
 
     async fn send_hello(&self, peer: &Peer) -> Option<HelloReply> {
         let identity = self.shared.id.map_or(0, |id| id.0);
-        let mut client = ReplicaClient::with_origin(peer.channel.clone(), peer.channel.origin());
+        let mut client = replica_client(&peer.channel);
         let name = self.shared.cfg.name.clone();
         let address = self.shared.cfg.address.to_string();
         let req = HelloRequest { name, identity, address };
@@ -523,6 +524,11 @@
     }
 }
 
+fn replica_client(channel: &Channel) -> ReplicaClient<Channel> {
+    ReplicaClient::with_origin(channel.clone(), channel.origin())
+        .max_decoding_message_size(MESSAGE_BYTES_MAX)
+}
+
 /// Replica identity, journal and recovered state of a data folder.
 type Opened = (ReplicaId, Journal, Recovered);
 
--- a/crates/net/src/journal.rs
+++ b/crates/net/src/journal.rs
@@ -18,8 +18,6 @@
 
 /// Size of the header of a frame: the length and the CRC-32 of its payload, 4 bytes each.
 const FRAME_HEADER_BYTES: usize = 8;
-/// Maximum size of a payload; a larger length in a header is corrupt.
-const PAYLOAD_BYTES_MAX: usize = 64 * 1024 * 1024;
 /// File name of the log.
 const LOG_FILE: &str = "log";
 /// File name of the snapshot.
@@ -191,7 +189,7 @@
     let header = buf.get(at..at + FRAME_HEADER_BYTES)?;
     let len = u32::from_le_bytes(header[..4].try_into().ok()?) as usize;
     let crc = u32::from_le_bytes(header[4..].try_into().ok()?);
-    if len == 0 || len > PAYLOAD_BYTES_MAX {
+    if len == 0 || len > wire::MESSAGE_BYTES_MAX {
         return None;
     }
     let end = at + FRAME_HEADER_BYTES + len;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,6 +13,11 @@
 
 mod policy_document;
 
+/// Maximum size of a message between instances, and of a record on disk, in bytes. A message carries at
+/// least one entry of the replicated log, or a snapshot, which holds the policy document beside the other
+/// state.
+pub const MESSAGE_BYTES_MAX: usize = 64 * 1024 * 1024;
+
 pub use generated::*;
 pub use policy_document::POLICY_BYTES_MAX;
 pub use policy_document::PolicyBodyError;
