Policy: hosts are compared without case

What callers saw: a route added for Shop.Example was answered 404 to a caller that wrote the host in lower case, as many do. Two routes with the same prefix whose hosts differ in case were acknowledged, though the second can't be served (CONFIG: an invalid configuration is taken).

Cause: the policy's index and the gateway's lookup compared hosts byte by byte; HTTP compares them without case.

Ruled out: the decoder (each route arrives as it was sent).

Evidence: decode::hosts_are_compared_without_case failed before (no route for shop.example); passes now, and the document with both spellings is refused. The index holds hosts in lower case, and a lookup converts only a host that is not found as it came.

--- a/crates/core/src/traffic/policy.rs
+++ b/crates/core/src/traffic/policy.rs
@@ -54,6 +54,7 @@
     services: Vec<ServicePolicy>,
     workspaces: Vec<Workspace>,
     limits: CallerLimits,
+    /// By the host in lower case and the prefix.
     by_host: HashMap<String, HashMap<String, usize>>,
     by_key: HashMap<String, usize>,
 }
@@ -79,7 +80,7 @@
         let mut by_host: HashMap<String, HashMap<String, usize>> = HashMap::new();
         for (i, r) in routes.iter().enumerate() {
             check_route(r)?;
-            let by_prefix = by_host.entry(r.host.clone()).or_default();
+            let by_prefix = by_host.entry(r.host.to_ascii_lowercase()).or_default();
             if by_prefix.insert(r.prefix.clone(), i).is_some() {
                 return Err(PolicyError::DuplicateRoute { route: r.name.clone() });
             }
@@ -105,10 +106,13 @@
         self.version
     }
 
-    /// Returns the route of a request: the one of its host whose prefix is the longest match for
-    /// the path.
+    /// Returns the route of a request: the one of its host, compared without case, whose prefix is the
+    /// longest match for the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        let by_prefix = self.by_host.get(host)?;
+        let by_prefix = match self.by_host.get(host) {
+            Some(by_prefix) => by_prefix,
+            None => self.by_host.get(&host.to_ascii_lowercase())?,
+        };
         let prefix_ends = path.bytes().enumerate().filter(|(_, b)| *b == b'/').map(|(i, _)| i + 1);
         let index = prefix_ends.filter_map(|end| by_prefix.get(&path[..end])).next_back()?;
         self.routes.get(*index)
