Gateway: a policy that could not be fetched is fetched again

Cause: a fetch that failed ended, and only the next update started another one. An update that arrived between the last look of a fetch and its end started none either (read in the code; not brought about by a test).

Ruled out: the announcement (the update has arrived) and the document (the second call returns it).

One task per gateway waits for announcements now and goes on until the newest announced version is in force; it listens before it looks, so that nothing is missed in between.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -12,13 +12,10 @@
 use crocustally_core::fleet::RegistryChange;
 use crocustally_net::Channel;
 use crocustally_net::sleep;
-use crocustally_net::timeout;
 use crocustally_wire::EndpointBeat;
-use crocustally_wire::FetchPolicyRequest;
 use crocustally_wire::FollowRequest;
 use crocustally_wire::LoadBatch;
 use crocustally_wire::MESSAGE_BYTES_MAX;
-use crocustally_wire::PolicyDocument;
 use crocustally_wire::Update;
 use crocustally_wire::control_client::ControlClient;
 use prost::Message as _;
@@ -28,8 +25,6 @@
 
 /// Pause before reconnecting to a control instance.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
-/// Timeout for fetching a policy document, after which another control instance may be tried.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Starts following the control instances of `controls` that are not followed yet.
 pub(crate) fn follow_all(gateway: &Arc<Gateway>, controls: &[SocketAddr]) {
@@ -122,8 +117,8 @@
     let controls: Vec<SocketAddr> =
         update.controls.iter().filter_map(|text| text.parse().ok()).collect();
     follow_all(gateway, &controls);
-    if update.policy_version > gateway.policy().map_or(0, |p| p.version()) {
-        fetch_policy(gateway, update.policy_version);
+    if update.policy_version > 0 {
+        gateway.announce_policy(update.policy_version);
     }
     if pools_changed {
         for pool in gateway.all_pools() {
@@ -197,73 +192,3 @@
         });
     }
 }
-
-/// Fetches the newest policy; at most one fetch runs at a time.
-fn fetch_policy(gateway: &Arc<Gateway>, version: u64) {
-    let mut fleet = gateway.fleet();
-    fleet.newest_policy_version = fleet.newest_policy_version.max(version);
-    if std::mem::replace(&mut fleet.fetching_policy, true) {
-        return;
-    }
-    drop(fleet);
-    let gateway = gateway.clone();
-    gateway.rt.clone().spawn(async move {
-        let _fetch = PolicyFetch(gateway.clone());
-        loop {
-            let version = gateway.fleet().newest_policy_version;
-            if version <= gateway.policy().map_or(0, |p| p.version()) {
-                break;
-            }
-            let Some(document) = fetch_from_any(&gateway, version).await else {
-                // The next update from any instance triggers another fetch.
-                log::warn!(version = version; "failed to fetch policy document");
-                break;
-            };
-            let installed = document.text().map_err(|e| e.to_string()).and_then(|text| {
-                let policy = gateway.dialect.decode_policy(&text).map_err(|e| e.to_string())?;
-                gateway.install_policy(policy);
-                Ok(())
-            });
-            if let Err(e) = installed {
-                log::error!(version = document.version; "policy document unusable: {e}");
-                break;
-            }
-        }
-    });
-}
-
-/// A running fetch of the policy. The next one may start once it is dropped, in whatever way it ended.
-struct PolicyFetch(Arc<Gateway>);
-
-impl Drop for PolicyFetch {
-    fn drop(&mut self) {
-        self.0.fleet().fetching_policy = false;
-    }
-}
-
-/// Fetches the policy document from one control instance after another. Each gateway starts with
-/// another one, so that all links carry a part.
-async fn fetch_from_any(gateway: &Arc<Gateway>, version: u64) -> Option<PolicyDocument> {
-    let mut clients: Vec<(SocketAddr, ControlClient<Channel>)> =
-        gateway.fleet().control_clients.iter().map(|(a, c)| (*a, c.clone())).collect();
-    let preference = |address: &SocketAddr| {
-        Digest::of(&[gateway.cfg.name.as_bytes(), address.to_string().as_bytes()])
-    };
-    clients.sort_by_cached_key(|(address, _)| preference(address));
-    for (address, mut client) in clients {
-        let response = client.fetch_policy(FetchPolicyRequest { version, reads_compressed: true });
-        match timeout(FETCH_TIMEOUT, response).await {
-            Some(Ok(document)) => return Some(document.into_inner()),
-            // The instance has not applied this version yet, or is not reachable.
-            Some(Err(e)) => {
-                let control = address.to_string();
-                log::debug!(control = control.as_str(), version = version; "no policy document: {e}");
-            }
-            None => {
-                let control = address.to_string();
-                log::warn!(control = control.as_str(), version = version; "policy fetch timed out");
-            }
-        }
-    }
-    None
-}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -35,6 +35,7 @@
 use crocustally_net::timeout;
 use crocustally_wire::control_client::ControlClient;
 use event_listener::Event;
+use event_listener::EventListener;
 
 use crate::GatewayDialect;
 use crate::GatewaySettings;
@@ -43,6 +44,7 @@
 use crate::endpoint_ends::Trials;
 use crate::feed;
 use crate::frontend;
+use crate::policy_fetch;
 use crate::slots::SlotPool;
 
 /// Time without mention by any control instance after which another gateway no longer counts: more
@@ -98,8 +100,6 @@
     pub(crate) followed_controls: BTreeSet<SocketAddr>,
     /// Newest policy version announced by any control instance.
     pub(crate) newest_policy_version: u64,
-    /// Whether a policy document is being fetched.
-    pub(crate) fetching_policy: bool,
 }
 
 impl FleetState {
@@ -125,6 +125,8 @@
     policy: RwLock<Option<Arc<TrafficPolicy>>>,
     /// Notified when a policy takes effect.
     policy_changed: Event,
+    /// Notified when a control instance announces a newer policy version.
+    policy_announced: Event,
     started_at: Instant,
     fleet: Mutex<FleetState>,
     pub(crate) crash_reports: CrashReports,
@@ -157,6 +159,7 @@
             dialect,
             policy: RwLock::new(None),
             policy_changed: Event::new(),
+            policy_announced: Event::new(),
             started_at: clock.now(),
             fleet: Mutex::new(FleetState::default()),
             crash_reports: CrashReports::default(),
@@ -167,6 +170,7 @@
             cfg,
         });
         feed::follow_all(&gateway, &gateway.cfg.controls.clone());
+        rt.spawn(policy_fetch::keep_policy_current(gateway.clone()));
         rt.spawn(endpoint_ends::report_loop(gateway.clone()));
         let limits = HttpLimits {
             header_timeout: IDLE_TIMEOUT,
@@ -258,6 +262,22 @@
         self.policy_changed.notify(usize::MAX);
     }
 
+    /// Records a version that a control instance has announced.
+    pub(crate) fn announce_policy(&self, version: u64) {
+        let mut fleet = self.fleet();
+        if version <= fleet.newest_policy_version {
+            return;
+        }
+        fleet.newest_policy_version = version;
+        drop(fleet);
+        self.policy_announced.notify(usize::MAX);
+    }
+
+    /// Completes when a newer policy version is announced.
+    pub(crate) fn listen_for_policies(&self) -> EventListener {
+        self.policy_announced.listen()
+    }
+
     pub(crate) fn fleet(&self) -> MutexGuard<'_, FleetState> {
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod feed;
 mod frontend;
 mod gateway;
+mod policy_fetch;
 mod settings;
 mod slots;
 mod stream;
