Gateway: silent control instances do not delay a policy

What callers saw: an added route answered with 404, or a withdrawn key accepted, for longer than config-ms, while one or two control instances were frozen, cut off or gone.

Cause: control instances were asked for the policy one after the other, 0.8 s each, where config-ms is 2 s; those that were connected after the round had begun had to wait for the next one. On loopback instances that are gone refuse at once, so that no run with processes showed it.

The next instance is asked after 0.3 s, or at once after a failure, and the first document counts.

--- a/crates/gateway/src/policy_fetch.rs
+++ b/crates/gateway/src/policy_fetch.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_channel::Sender;
 use crocustally_core::Digest;
 use crocustally_net::Channel;
 use crocustally_net::sleep;
@@ -11,11 +12,15 @@
 use crocustally_wire::FetchPolicyRequest;
 use crocustally_wire::PolicyDocument;
 use crocustally_wire::control_client::ControlClient;
+use smallvec::SmallVec;
 
 use crate::Gateway;
 
 /// Timeout for fetching a policy document from one control instance.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time after which the next control instance is asked as well: a small part of the time in which a
+/// version has to be in force, 2 s on the smallest deployments.
+const HEDGE_DELAY: Duration = Duration::from_millis(300);
 /// Pause after a round in which no control instance has returned a usable document.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -52,29 +57,67 @@
     }
 }
 
-/// Fetches the policy document from one control instance after another. Each gateway starts with
-/// another one, so that all links carry a part.
+/// Fetches the policy document from the control instance that responds first. They are asked one after
+/// the other, each once the one before has failed or is slow, and also those that are connected
+/// meanwhile.
 async fn fetch_from_any(gateway: &Arc<Gateway>, version: u64) -> Option<PolicyDocument> {
-    let mut clients: Vec<(SocketAddr, ControlClient<Channel>)> =
-        gateway.fleet().control_clients.iter().map(|(a, c)| (*a, c.clone())).collect();
+    let (tx, rx) = async_channel::unbounded();
+    let mut asked: SmallVec<[SocketAddr; 9]> = SmallVec::new();
+    // Calls that are still open are cancelled on return.
+    let mut calls = Vec::new();
+    let mut open = 0;
+    loop {
+        if let Some((address, client)) = next_client(gateway, &asked) {
+            asked.push(address);
+            calls.push(gateway.rt.spawn_task(fetch_from(address, client, version, tx.clone())));
+            open += 1;
+        } else if open == 0 {
+            return None;
+        }
+        match timeout(HEDGE_DELAY, rx.recv()).await {
+            Some(Ok(Some(document))) => return Some(document),
+            Some(Ok(None)) => open -= 1,
+            Some(Err(_)) => return None,
+            None => {}
+        }
+    }
+}
+
+/// The first client that is not in `asked`. The order differs by gateway, so that all links carry a
+/// part.
+fn next_client(
+    gateway: &Gateway,
+    asked: &[SocketAddr],
+) -> Option<(SocketAddr, ControlClient<Channel>)> {
     let preference = |address: &SocketAddr| {
         Digest::of(&[gateway.cfg.name.as_bytes(), address.to_string().as_bytes()])
     };
-    clients.sort_by_cached_key(|(address, _)| preference(address));
-    for (address, mut client) in clients {
-        let response = client.fetch_policy(FetchPolicyRequest { version, reads_compressed: true });
-        match timeout(FETCH_TIMEOUT, response).await {
-            Some(Ok(document)) => return Some(document.into_inner()),
-            // The instance has not applied this version yet, or is not reachable.
-            Some(Err(e)) => {
-                let control = address.to_string();
-                log::debug!(control = control.as_str(), version = version; "no policy document: {e}");
-            }
-            None => {
-                let control = address.to_string();
-                log::warn!(control = control.as_str(), version = version; "policy fetch timed out");
-            }
+    let fleet = gateway.fleet();
+    let unasked = fleet.control_clients.iter().filter(|(address, _)| !asked.contains(address));
+    let next = unasked.min_by_key(|(address, _)| preference(address));
+    next.map(|(address, client)| (*address, client.clone()))
+}
+
+/// Fetches the policy document from one control instance and passes it on; `None` if that fails.
+async fn fetch_from(
+    address: SocketAddr,
+    mut client: ControlClient<Channel>,
+    version: u64,
+    tx: Sender<Option<PolicyDocument>>,
+) {
+    let control = address.to_string();
+    let response = client.fetch_policy(FetchPolicyRequest { version, reads_compressed: true });
+    let document = match timeout(FETCH_TIMEOUT, response).await {
+        Some(Ok(document)) => Some(document.into_inner()),
+        // The instance has not applied this version yet, or is not reachable.
+        Some(Err(e)) => {
+            log::debug!(control = control.as_str(), version = version; "no policy document: {e}");
+            None
         }
-    }
-    None
+        None => {
+            log::warn!(control = control.as_str(), version = version; "policy fetch timed out");
+            None
+        }
+    };
+    let _ = tx.send(document).await;
 }
