Daemons: a panic ends the process

Cause: a panic in a task ends the executor's thread and not the process, and one in the log's driver ends that thread. Nobody restarts a process that still runs.

Weighed: to catch the panic and go on. It would keep a process whose background tasks (updates to gateways, the log) may be gone. The platform restarts a process that ends.

--- a/crates/daemons/src/daemon.rs
+++ b/crates/daemons/src/daemon.rs
@@ -17,6 +17,7 @@
 use crocustally_net::SettingsError;
 use crocustally_net::Shutdown;
 use crocustally_net::Signals;
+use crocustally_net::abort_on_panic;
 use crocustally_net::init_logs;
 use crocustally_net::load_settings;
 use crocustally_net::metrics_handle;
@@ -97,6 +98,7 @@
     }
     let common = common(&cfg);
     init_logs(common.log);
+    abort_on_panic();
     metrics_handle();
     let rt = Runtime::start(common.threads);
     let reload = move || load_settings::<R, T>(&path);
