Control: an address for other processes that differs from the own one; tests cut own processes from each other

What callers would see: unknown until now. No relay fitted between own processes, since the peer address of a control instance is its identity, so that one-way cuts, silent connections and silent addresses were never played.

`peer_advertise` (control) is the address that others are told and the instance's name, `source` (control, gateway) the address that its connections come from. `TcpRelay` cuts one way between two hosts (`Links`) and can be as silent as an address that is gone: connects hang. Without the new keys nothing changes.

--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -1,5 +1,6 @@
 //! [`ControlSettings`]: the configuration of one control instance.
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -25,6 +26,13 @@
     pub listen: String,
     /// `ip:port` for the system's other processes.
     pub peer_listen: String,
+    /// `ip:port` under which the system's other processes reach this instance, if it differs from
+    /// `peer_listen`, as behind an address translation. It is the identity of the instance.
+    #[serde(default)]
+    pub peer_advertise: Option<String>,
+    /// Source address of connections to other instances.
+    #[serde(default)]
+    pub source: Option<IpAddr>,
     /// `ip:port` of some control instances; only the IP addresses are used.
     #[serde(default)]
     pub seeds: Vec<String>,
@@ -82,6 +90,10 @@
     pub listen: SocketAddr,
     /// Listen address for the system's other processes.
     pub peer_listen: SocketAddr,
+    /// Address under which the system's other processes reach this instance.
+    pub peer_advertise: SocketAddr,
+    /// Source address of connections to other instances; `None` leaves the choice to the system.
+    pub source: Option<IpAddr>,
     /// Peer addresses of the seeds.
     pub seeds: Vec<SocketAddr>,
     /// Whether the seeds bootstrap the replicated log.
@@ -103,22 +115,22 @@
 impl ControlSettings {
     /// The settings of this instance's replica.
     ///
-    /// Replicas are named by peer address, which stays the same when a disk is replaced.
+    /// Replicas are named by advertised peer address, which stays the same when a disk is replaced.
     pub fn log_settings(&self) -> LogSettings {
         let peer = |a: &SocketAddr| PeerSettings {
             name: a.to_string(),
             address: *a,
             voter: self.bootstrap,
         };
-        let other_seeds = self.seeds.iter().filter(|a| **a != self.peer_listen);
+        let other_seeds = self.seeds.iter().filter(|a| **a != self.peer_advertise);
         LogSettings {
-            name: self.peer_listen.to_string(),
-            address: self.peer_listen,
-            source: None,
+            name: self.peer_advertise.to_string(),
+            address: self.peer_advertise,
+            source: self.source,
             data: Some(self.data.clone()),
             peers: other_seeds.map(peer).collect(),
             found_by_majority: true,
-            initial_voter: self.bootstrap && self.seeds.contains(&self.peer_listen),
+            initial_voter: self.bootstrap && self.seeds.contains(&self.peer_advertise),
             repair: self.repair,
             may_vote: Vec::new(),
         }
@@ -145,16 +157,22 @@
             return Err(SettingsError::invalid("threads", "must be 1 or more"));
         }
         let peer_listen = parse_address("peer_listen", &raw.peer_listen)?;
+        let peer_advertise = match &raw.peer_advertise {
+            Some(text) => parse_address("peer_advertise", text)?,
+            None => peer_listen,
+        };
         let mut seeds = Vec::new();
         for text in &raw.seeds {
-            // Seeds are given by their address for operators; the peer port is the same on all
-            // instances.
+            // Seeds are given by their address for operators; the advertised peer port is the same on
+            // all instances.
             let seed = parse_address("seeds", text)?;
-            seeds.push(SocketAddr::new(seed.ip(), peer_listen.port()));
+            seeds.push(SocketAddr::new(seed.ip(), peer_advertise.port()));
         }
         Ok(Self {
             listen: parse_address("listen", &raw.listen)?,
             peer_listen,
+            peer_advertise,
+            source: raw.source,
             seeds,
             bootstrap: raw.found,
             repair: RepairSettings { voters: 2 * raw.losses + 1, catch_up },
--- a/crates/daemons/tests/soak/deployment.rs
+++ b/crates/daemons/tests/soak/deployment.rs
@@ -10,6 +10,7 @@
 use std::process::Stdio;
 use std::sync::Arc;
 
+use crocustally_fleet::Links;
 use crocustally_fleet::TcpRelay;
 use crocustally_net::Runtime;
 use rustix::process::Pid;
@@ -29,6 +30,8 @@
 const CONTROL_PORT: u16 = 8100;
 const PEER_PORT: u16 = 8101;
 const CALLER_PORT: u16 = 8102;
+/// Port behind the relay of a control instance.
+const RELAYED_PORT: u16 = 8103;
 
 /// The program of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,6 +54,10 @@
     pub runners: Vec<Arc<Runner>>,
     /// The relay in front of each runner.
     pub relays: Vec<TcpRelay>,
+    /// Cuts between the processes; `None` if no relays stand between them.
+    pub links: Option<Links>,
+    /// The relay in front of the peer address of each control instance, if there are any.
+    pub peer_relays: Vec<TcpRelay>,
     /// Addresses of the control instances that settings name; after a replacement they lag by one.
     seeds: Vec<SocketAddr>,
     replacements: u8,
@@ -76,6 +83,27 @@
         runners: usize,
         gateways: usize,
         folder: PathBuf,
+    ) -> Self {
+        Self::start_with(rt, net, runners, gateways, folder, None).await
+    }
+
+    /// Starts the control instances and `gateways` gateways with relays between all of them.
+    pub async fn start_with_relays(
+        rt: &Runtime,
+        net: [u8; 2],
+        gateways: usize,
+        folder: PathBuf,
+    ) -> Self {
+        Self::start_with(rt, net, 0, gateways, folder, Some(Links::default())).await
+    }
+
+    async fn start_with(
+        rt: &Runtime,
+        net: [u8; 2],
+        runners: usize,
+        gateways: usize,
+        folder: PathBuf,
+        links: Option<Links>,
     ) -> Self {
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).unwrap();
@@ -83,6 +111,8 @@
             processes: Vec::new(),
             runners: Vec::new(),
             relays: Vec::new(),
+            links,
+            peer_relays: Vec::new(),
             seeds: Vec::new(),
             replacements: 0,
             folder,
@@ -101,6 +131,12 @@
             d.runners.push(Arc::new(runner));
         }
         d.seeds = (0..CONTROLS).map(|c| d.control(c)).collect();
+        if let Some(links) = &d.links {
+            for c in 0..CONTROLS {
+                let relay = peer_relay(rt, d.processes[c].ip, links).await;
+                d.peer_relays.push(relay);
+            }
+        }
         (0..d.processes.len()).for_each(|i| d.spawn(i, true));
         d
     }
@@ -120,6 +156,16 @@
         p.name = format!("control-{i}-{}", self.replacements);
     }
 
+    /// As [`Self::replace_control`], with relays: the address of the one that is gone stays silent.
+    pub async fn replace_control_silently(&mut self, rt: &Runtime, i: usize) {
+        self.replace_control(i);
+        if let Some(links) = &self.links {
+            let relay = peer_relay(rt, self.processes[i].ip, links).await;
+            let gone = std::mem::replace(&mut self.peer_relays[i], relay);
+            gone.set_silent(true).await.unwrap();
+        }
+    }
+
     /// Address of control instance `i` for operators and runners.
     pub fn control(&self, i: usize) -> SocketAddr {
         SocketAddr::new(self.processes[i].ip, CONTROL_PORT)
@@ -134,7 +180,7 @@
         let p = &self.processes[i];
         let seeds: Vec<String> = self.seeds.iter().map(ToString::to_string).collect();
         let domain = format!("d{}", i % DOMAINS);
-        let yaml = match p.kind {
+        let mut yaml = match p.kind {
             Kind::Control => json!({
                 "name": p.name, "domain": domain, "log": "json", "found": bootstrap, "losses": 1,
                 "listen": self.control(i).to_string(), "seeds": seeds,
@@ -147,6 +193,13 @@
                 "control_port": PEER_PORT, "grace_s": 8.0,
             }),
         };
+        if self.links.is_some() {
+            yaml["source"] = json!(p.ip);
+            if p.kind == Kind::Control {
+                yaml["peer_listen"] = json!(SocketAddr::new(p.ip, RELAYED_PORT).to_string());
+                yaml["peer_advertise"] = json!(SocketAddr::new(p.ip, PEER_PORT).to_string());
+            }
+        }
         // JSON is YAML.
         yaml.to_string()
     }
@@ -210,9 +263,21 @@
         Some(status.to_string())
     }
 
+    /// Everything that a process has logged so far.
+    pub fn read_log(&self, i: usize) -> String {
+        let path = self.folder.join(format!("{}.log", self.processes[i].name));
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
     /// Keeps logs and data after the drop, to debug a failure; returns their folder.
     pub fn keep_folder(&mut self) -> PathBuf {
         self.keep_data = true;
         self.folder.clone()
     }
 }
+
+/// Starts the relay in front of a control instance.
+async fn peer_relay(rt: &Runtime, ip: IpAddr, links: &Links) -> TcpRelay {
+    let (listen, target) = (SocketAddr::new(ip, PEER_PORT), SocketAddr::new(ip, RELAYED_PORT));
+    TcpRelay::start_in_links(rt, listen, target, links).await.unwrap()
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,5 +23,6 @@
 pub use processes::ProcessFleet;
 pub use processes::Programs;
 pub use stand::StandIns;
+pub use tcp_relay::Links;
 pub use tcp_relay::Network;
 pub use tcp_relay::TcpRelay;
--- a/crates/fleet/src/tcp_relay.rs
+++ b/crates/fleet/src/tcp_relay.rs
@@ -1,6 +1,7 @@
 //! [`TcpRelay`]: a TCP proxy that injects network faults between two processes.
 
 use std::collections::BTreeSet;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -14,14 +15,20 @@
 use async_net::TcpStream;
 use crocustally_net::Runtime;
 use crocustally_net::sleep;
+use crocustally_net::timeout;
 use futures_lite::AsyncReadExt;
 use futures_lite::AsyncWriteExt;
+use rustix::net::listen;
 use rustix::net::sockopt::set_socket_linger;
 
 use crate::Plan;
 
 /// Interval at which a stalled direction checks whether it may continue.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Length of the queue of new connections, as the standard library sets it.
+const BACKLOG: i32 = 128;
+/// Time after which a connection to a relay is taken for one that hangs.
+const HANGING: Duration = Duration::from_millis(50);
 /// Largest read, in bytes.
 const CHUNK_BYTES: usize = 16 * 1024;
 
@@ -44,6 +51,34 @@
     /// Delay added to every chunk, in milliseconds.
     delay_ms: Arc<AtomicU64>,
     connections: Arc<Mutex<Vec<Arc<Faults>>>>,
+    listener: TcpListener,
+    silent: Arc<AtomicBool>,
+    /// Connections that keep the queue of a silent relay full.
+    held: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+/// One-way cuts between hosts, shared by the relays in front of them. Hosts are told apart by the
+/// source address of their connections.
+#[derive(Clone, Debug, Default)]
+pub struct Links {
+    cut: Arc<Mutex<BTreeSet<(IpAddr, IpAddr)>>>,
+}
+
+impl Links {
+    /// Cuts or restores the way from one host to another, on open and new connections of either host.
+    /// Bytes that are under way wait.
+    pub fn set_cut(&self, from: IpAddr, to: IpAddr, cut: bool) {
+        let mut cuts = self.cut.lock().unwrap_or_else(PoisonError::into_inner);
+        if cut {
+            cuts.insert((from, to));
+        } else {
+            cuts.remove(&(from, to));
+        }
+    }
+
+    fn is_cut(&self, from: IpAddr, to: IpAddr) -> bool {
+        self.cut.lock().unwrap_or_else(PoisonError::into_inner).contains(&(from, to))
+    }
 }
 
 /// State shared by all relays of a deployment: the isolated failure domains and a byte counter.
@@ -88,7 +123,7 @@
         listen: SocketAddr,
         target: SocketAddr,
     ) -> std::io::Result<Self> {
-        Self::start_with(rt, listen, target, |_| || false, Arc::default()).await
+        Self::start_with(rt, listen, target, |_| |_| false, Arc::default()).await
     }
 
     /// Starts a relay in front of an instance of `plan`, which stalls connections between failure
@@ -110,12 +145,34 @@
         let blocked_from = move |client: SocketAddr| {
             let client_domain = plan.domain_by_ip(client.ip()).unwrap_or(&target_domain).to_owned();
             let (target_domain, network) = (target_domain.clone(), network.clone());
-            move || network.is_blocked(&target_domain, &client_domain)
+            move |_| network.is_blocked(&target_domain, &client_domain)
         };
         Self::start_with(rt, listen, target, blocked_from, bytes_forwarded).await
     }
 
-    async fn start_with<C: Fn() -> bool + Clone + Send + Sync + 'static>(
+    /// Starts a relay in front of a host, which stalls the ways that `links` has cut.
+    ///
+    /// # Errors
+    ///
+    /// Fails if `listen` is in use.
+    pub async fn start_in_links(
+        rt: &Runtime,
+        listen: SocketAddr,
+        target: SocketAddr,
+        links: &Links,
+    ) -> std::io::Result<Self> {
+        let (links, host) = (links.clone(), listen.ip());
+        let blocked_from = move |client: SocketAddr| {
+            let (links, client) = (links.clone(), client.ip());
+            move |direction| match direction {
+                Direction::ToServer => links.is_cut(client, host),
+                Direction::ToClient => links.is_cut(host, client),
+            }
+        };
+        Self::start_with(rt, listen, target, blocked_from, Arc::default()).await
+    }
+
+    async fn start_with<C: Fn(Direction) -> bool + Clone + Send + Sync + 'static>(
         rt: &Runtime,
         listen: SocketAddr,
         target: SocketAddr,
@@ -125,10 +182,24 @@
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
         let connections = Arc::new(Mutex::new(Vec::new()));
-        let relay = Self { address, delay_ms: Arc::default(), connections };
+        let relay = Self {
+            address,
+            delay_ms: Arc::default(),
+            connections,
+            listener: listener.clone(),
+            silent: Arc::default(),
+            held: Arc::default(),
+        };
         let (this, runtime) = (relay.clone(), rt.clone());
         rt.spawn(async move {
             while let Ok((client, from)) = listener.accept().await {
+                if this.silent.load(Ordering::Acquire) {
+                    this.lock_held().push(client);
+                    while this.silent.load(Ordering::Acquire) {
+                        sleep(POLL_INTERVAL).await;
+                    }
+                    continue;
+                }
                 let faults = Arc::new(Faults::default());
                 this.lock().push(faults.clone());
                 let delay_ms = this.delay_ms.clone();
@@ -157,6 +228,27 @@
         }
     }
 
+    /// Makes the relay behave like an address that is gone and silent: open connections stall for good,
+    /// and new ones hang while they are opened. Undone, new connections work.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the queue of new connections cannot be changed.
+    pub async fn set_silent(&self, silent: bool) -> std::io::Result<()> {
+        self.silent.store(silent, Ordering::Release);
+        listen(&self.listener, if silent { 0 } else { BACKLOG })?;
+        if !silent {
+            self.lock_held().clear();
+            return Ok(());
+        }
+        self.stall_existing(true, true);
+        // The kernel drops what opens connections to a queue that is full.
+        while let Some(connected) = timeout(HANGING, TcpStream::connect(self.address)).await {
+            self.lock_held().push(connected?);
+        }
+        Ok(())
+    }
+
     /// Delays all bytes in both directions. Zero removes the delay.
     pub fn set_delay(&self, time: Duration) {
         self.delay_ms.store(time.as_millis() as u64, Ordering::Release);
@@ -175,6 +267,10 @@
         }
     }
 
+    fn lock_held(&self) -> std::sync::MutexGuard<'_, Vec<TcpStream>> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Arc<Faults>>> {
         self.connections.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -189,13 +285,13 @@
     delay_ms: Arc<AtomicU64>,
 }
 
-async fn forward_connection<C: Fn() -> bool + Clone + Send + Sync + 'static>(
+async fn forward_connection<C: Fn(Direction) -> bool + Clone + Send + Sync + 'static>(
     rt: Runtime,
     client: TcpStream,
     target: SocketAddr,
     state: ConnectionState<C>,
 ) {
-    while (state.is_blocked)() {
+    while (state.is_blocked)(Direction::ToServer) || (state.is_blocked)(Direction::ToClient) {
         sleep(POLL_INTERVAL).await;
     }
     let Ok(server) = TcpStream::connect(target).await else { return };
@@ -221,13 +317,13 @@
     ToClient,
 }
 
-impl<C: Fn() -> bool> ConnectionState<C> {
+impl<C: Fn(Direction) -> bool> ConnectionState<C> {
     fn is_stalled(&self, direction: Direction) -> bool {
         let stalled = match direction {
             Direction::ToServer => &self.faults.to_server_stalled,
             Direction::ToClient => &self.faults.to_client_stalled,
         };
-        stalled.load(Ordering::Acquire) || (self.is_blocked)()
+        stalled.load(Ordering::Acquire) || (self.is_blocked)(direction)
     }
 
     fn is_reset(&self) -> bool {
@@ -235,7 +331,7 @@
     }
 }
 
-async fn copy_bytes<C: Fn() -> bool + Send>(
+async fn copy_bytes<C: Fn(Direction) -> bool + Send>(
     mut from: TcpStream,
     mut to: TcpStream,
     state: ConnectionState<C>,
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -39,7 +39,7 @@
     let control = address.to_string();
     let mut connected = false;
     loop {
-        let channel = Channel::new(&gateway.rt, address);
+        let channel = Channel::with_source(&gateway.rt, address, gateway.cfg.source);
         let mut client = ControlClient::with_origin(channel.clone(), channel.origin())
             .max_decoding_message_size(MESSAGE_BYTES_MAX);
         let req = FollowRequest { name: gateway.cfg.name.clone() };
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! [`GatewaySettings`]: settings of one gateway.
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -26,6 +27,9 @@
     pub seeds: Vec<String>,
     /// Port on which control instances listen for other processes.
     pub control_port: u16,
+    /// Source address of connections to control instances.
+    #[serde(default)]
+    pub source: Option<IpAddr>,
     /// Time for open requests to finish after a planned stop, in seconds.
     #[serde(default = "default_grace")]
     pub grace_s: f64,
@@ -130,6 +134,8 @@
     pub ready_listen: Option<SocketAddr>,
     /// Addresses of some control instances; the others are discovered.
     pub controls: Vec<SocketAddr>,
+    /// Source address of connections to control instances; `None` leaves the choice to the system.
+    pub source: Option<IpAddr>,
     /// Time for open requests to finish after a planned stop.
     pub grace: Duration,
     /// Retries allowed per first attempt.
@@ -209,6 +215,7 @@
             listen: parse_address("listen", &raw.listen)?,
             ready_listen: ready.transpose()?,
             controls,
+            source: raw.source,
             grace: Duration::from_secs_f64(raw.grace_s),
             retry_ratio: raw.retry_ratio,
             retry_span: Duration::from_secs_f64(raw.retry_span_s),
