Log: a leader known only by its messages gets responses

What callers would see: a control instance that starts again while its settings name only addresses that are gone neither acknowledges changes nor answers reads until another instance's next hello call, up to 5 s later (ack-ms is 4 s).

Cause: the sender's name was recorded, but not its address, so that every message and proposal to it was dropped. Names of control instances are addresses; names of entries are not, and stay as they were.

Evidence: peers::replica_responds_to_a_leader_that_it_knows_only_by_its_messages failed before (no peer known), passes now. The time above is read in the code (interval of hello calls), not measured with processes.

--- a/crates/log/src/handle.rs
+++ b/crates/log/src/handle.rs
@@ -363,6 +363,9 @@
         let mut heard_at = self.shared.heard_at.lock().unwrap_or_else(PoisonError::into_inner);
         heard_at.insert(name.clone(), self.shared.clock.now());
         drop(heard_at);
+        // The name of a control instance is its address. Without it, a leader that is known only by its
+        // messages would get no response before the next round of hello calls.
+        self.add_reported_peer(&name, &name);
         self.record_name(from, name);
         if let (Some(events), true) = (&self.shared.events, self.shared.id == Some(to)) {
             let _ = events.try_send(Event::Messages { from, messages });
