--- a/crates/log/src/handle.rs
+++ b/crates/log/src/handle.rs
@@ -132,7 +132,7 @@
         let (state_machines, changed) = async_channel::bounded(1);
         let opened = cfg.data.as_ref().map(|path| open(path)).transpose()?;
         let (events_tx, events) = async_channel::unbounded();
-        let id = opened.as_ref().map(|(id, _, _)| *id);
+        let id = opened.as_ref().map(|(id, _)| *id);
         let own_name = cfg.name.clone();
         let shared = Shared {
             rt: rt.clone(),
@@ -157,21 +157,24 @@
         Ok((handle, changed))
     }
 
-    /// Runs the replica on its own thread and reopens the log after a disk failure.
+    /// Runs the replica on its own thread and reopens the log after a disk failure, also after one at
+    /// the start: an instance whose disk is full for a while takes part once there is room.
     fn run_replica(
         self,
-        mut opened: Opened,
+        (id, mut opened): Opened,
         mut events: Receiver<Event>,
         clock: Arc<dyn Clock>,
     ) -> std::io::Result<()> {
         let run = move || {
             loop {
-                match self.driver(opened, events, clock.clone()).run() {
+                let (journal, recovered) = match opened.take() {
+                    Some(opened) => opened,
+                    None => self.reopen(id),
+                };
+                match self.driver(id, journal, recovered, events, clock.clone()).run() {
                     Some(rx) => events = rx,
                     None => return,
                 }
-                opened = self.reopen();
-                log::info!(name = self.shared.cfg.name.as_str(); "replicated log reopened");
             }
         };
         thread::Builder::new().name("log".to_owned()).spawn(run)?;
@@ -180,7 +183,9 @@
 
     fn driver(
         &self,
-        (id, journal, recovered): Opened,
+        id: ReplicaId,
+        journal: Journal,
+        recovered: Recovered,
         events: Receiver<Event>,
         clock: Arc<dyn Clock>,
     ) -> LogDriver<Self> {
@@ -194,12 +199,21 @@
         LogDriver::new(replica, journal, clock, events, self.clone(), cfg.repair, may_vote)
     }
 
-    fn reopen(&self) -> Opened {
+    /// Opens the log once the disk works again.
+    fn reopen(&self, id: ReplicaId) -> (Journal, Recovered) {
+        let cfg = &self.shared.cfg;
         loop {
             thread::sleep(REOPEN_DELAY);
-            let path = self.shared.cfg.data.as_deref().unwrap_or(std::path::Path::new("."));
+            let path = cfg.data.as_deref().unwrap_or(std::path::Path::new("."));
             match open(path) {
-                Ok(opened) => return opened,
+                Ok((found, Some(opened))) if found == id => {
+                    log::info!(name = cfg.name.as_str(); "replicated log reopened");
+                    return opened;
+                }
+                Ok((found, Some(_))) => {
+                    log::error!("the disk has another identity, {}; retrying", found.0);
+                }
+                Ok((_, None)) => {}
                 Err(e) => log::warn!("cannot reopen the replicated log, retrying: {e}"),
             }
         }
@@ -529,8 +543,9 @@
         .max_decoding_message_size(MESSAGE_BYTES_MAX)
 }
 
-/// Replica identity, journal and recovered state of a data folder.
-type Opened = (ReplicaId, Journal, Recovered);
+/// Replica identity of a data folder, and its journal and recovered state; `None` if the disk does
+/// not take writes, which may pass.
+type Opened = (ReplicaId, Option<(Journal, Recovered)>);
 
 fn open(path: &std::path::Path) -> std::io::Result<Opened> {
     let failed = |code: Code| {
@@ -538,9 +553,16 @@
     };
     let folder = DataFolder::open(path).map_err(failed)?;
     let id = folder.identity(rand::random::<u64>).map_err(failed)?;
-    let (journal, recovered) = Journal::open(folder).map_err(|e| {
-        let (code, file) = (e.code, e.file.display());
-        std::io::Error::other(format!("{} {} {file} at {}", code.number(), code.text(), e.offset))
-    })?;
-    Ok((id, journal, recovered))
+    match Journal::open(folder) {
+        Ok(opened) => Ok((id, Some(opened))),
+        Err(e) => {
+            let (code, file) = (e.code, e.file.display());
+            let text = format!("{} {} {file} at {}", code.number(), code.text(), e.offset);
+            if code != Code::DiskFailed {
+                return Err(std::io::Error::other(text));
+            }
+            log::error!("cannot open the replicated log: {text}");
+            Ok((id, None))
+        }
+    }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`Channel`] and [`serve_grpc`]: gRPC between the system's processes.
 //! * [`serve_http`] and [`HttpClient`]: HTTP/1.1 from callers, and to engines and services.
 //! * [`Journal`]: the write-ahead log and the snapshot in the data folder.
+//! * [`Storage`]: the file operations below it.
 //! * [`Clock`]: the time source, injected so that tests control it.
 
 mod admin;
@@ -27,6 +28,7 @@
 mod service_pair;
 mod settings;
 mod shutdown;
+mod storage;
 mod telemetry;
 mod yielding_io;
 
@@ -69,6 +71,8 @@
 pub use settings::parse_address;
 pub use shutdown::RequestGuard;
 pub use shutdown::Shutdown;
+pub use storage::Storage;
+pub use storage::StorageFile;
 pub use telemetry::LogFormat;
 pub use telemetry::init_logs;
 pub use telemetry::metrics_handle;
--- a/crates/net/tests/journal.rs
+++ b/crates/net/tests/journal.rs
@@ -14,6 +14,8 @@
 use crocustally_core::raft::ReplicaId;
 use crocustally_net::DataFolder;
 use crocustally_net::Journal;
+use crocustally_wire::DiskRecord;
+use prost::Message;
 
 struct Folder(PathBuf);
 
@@ -145,3 +147,96 @@
     assert_eq!(identity, Err(Code::DiskFailed));
     assert!(!generated.get(), "a new identity was made up for a disk that has one");
 }
+
+/// Guards against a log that no longer opens after a loss of power: of a large append that was not
+/// synced the disk had kept a later page, but not the first one.
+#[test]
+fn unsynced_append_without_its_first_page_is_a_torn_tail() {
+    let f = Folder::new("first-page");
+    let path = write_log(&f);
+    let (mut journal, _) = f.open().unwrap();
+    let synced = fs::read(&path).unwrap().len();
+    journal.append((4..1000).map(entry_record).collect()).unwrap();
+    drop(journal);
+    let mut buf = fs::read(&path).unwrap();
+    assert!(buf.len() > 3 * 4096);
+    buf[synced..4096].fill(0);
+    fs::write(&path, buf).unwrap();
+    let (_, r) = f.open().unwrap();
+    assert_eq!((r.log.last_index(), r.commit_index), (3, 2));
+}
+
+/// Guards against damage to synced records that is taken for a torn tail, wherever it is.
+#[test]
+fn any_damage_before_the_last_append_fails_open() {
+    let f = Folder::new("any-damage");
+    let path = write_log(&f);
+    let (mut journal, _) = f.open().unwrap();
+    journal.append(vec![entry_record(4), entry_record(5)]).unwrap();
+    let synced = fs::read(&path).unwrap().len();
+    journal.append(vec![entry_record(6)]).unwrap();
+    drop(journal);
+    let intact = fs::read(&path).unwrap();
+    for at in 0..synced {
+        let mut buf = intact.clone();
+        buf[at] ^= 0x10;
+        fs::write(&path, &buf).unwrap();
+        assert_eq!(f.open().unwrap_err().code, Code::LogDamaged, "byte {at}");
+        assert_eq!(fs::read(&path).unwrap(), buf, "the damaged log was changed");
+    }
+}
+
+/// Writes the log of [`write_log`] in the format of earlier versions, one frame a record.
+fn write_earlier_log(f: &Folder) -> PathBuf {
+    let hard = HardState { term: 1, voted_for: Some(ReplicaId(7)) };
+    let entries = (1..=3).map(entry_record);
+    let records = [Record::HardState(hard)].into_iter().chain(entries).chain([Record::Commit(2)]);
+    let mut buf = Vec::new();
+    for r in records {
+        let payload = DiskRecord::from(r).encode_to_vec();
+        buf.extend_from_slice(&(payload.len() as u32).to_le_bytes());
+        buf.extend_from_slice(&crc32fast::hash(&payload).to_le_bytes());
+        buf.extend_from_slice(&payload);
+    }
+    fs::create_dir_all(&f.0).unwrap();
+    fs::write(f.0.join("log"), buf).unwrap();
+    f.0.join("log")
+}
+
+/// Guards against an update that cannot read the logs of earlier versions, or that cuts damaged ones.
+#[test]
+fn logs_of_earlier_versions_are_read() {
+    let f = Folder::new("earlier");
+    let path = write_earlier_log(&f);
+    for _ in 0..2 {
+        let (_, r) = f.open().unwrap();
+        assert_eq!((r.log.last_index(), r.commit_index, r.torn_bytes), (3, 2, 0));
+        assert_eq!(r.hard_state, HardState { term: 1, voted_for: Some(ReplicaId(7)) });
+    }
+    write_earlier_log(&f);
+    truncate_by(&path, 3);
+    let (_, r) = f.open().unwrap();
+    assert_eq!((r.log.last_index(), r.commit_index), (3, 0));
+    write_earlier_log(&f);
+    let mut buf = fs::read(&path).unwrap();
+    buf[20] ^= 0x40;
+    fs::write(&path, buf).unwrap();
+    assert_eq!(f.open().unwrap_err().code, Code::LogDamaged);
+}
+
+/// Guards against unfinished files that take the room of a full disk.
+#[test]
+fn unfinished_files_are_removed() {
+    let f = Folder::new("unfinished");
+    write_log(&f);
+    for name in ["log.new", "snapshot.new", "identity.new"] {
+        fs::write(f.0.join(name), b"unfinished").unwrap();
+    }
+    let folder = DataFolder::open(&f.0).unwrap();
+    folder.identity(|| 7).unwrap();
+    Journal::open(folder).unwrap();
+    let names = fs::read_dir(&f.0).unwrap().map(|e| e.unwrap().file_name());
+    let mut names: Vec<String> = names.map(|n| n.into_string().unwrap()).collect();
+    names.sort();
+    assert_eq!(names, ["identity", "lock", "log"]);
+}
