Core: a test that instances started with full disks take part again

What callers would see without it: an instance started while its disk takes no bytes ends at once, again and again, and its core is one instance short.

--- a/crates/daemons/tests/core_losses.rs
+++ b/crates/daemons/tests/core_losses.rs
@@ -60,6 +60,8 @@
     Frozen(Duration),
     /// Its files take no more bytes for the time.
     DiskFull(Duration),
+    /// Killed, and back at once with a disk that takes no more bytes for the time.
+    StartedWhileFull(Duration),
     /// Stopped with SIGTERM, and started again after the time.
     Stopped(Duration),
 }
@@ -231,6 +233,13 @@
             sleep(after).await;
             d.set_disk_full(i, false);
         }
+        Loss::StartedWhileFull(after) => {
+            d.kill(i);
+            d.spawn(i, false);
+            d.set_disk_full(i, true);
+            sleep(after).await;
+            d.set_disk_full(i, false);
+        }
         Loss::Stopped(after) => {
             d.signal(i, Signal::TERM);
             sleep(after).await;
@@ -288,6 +297,16 @@
     assert!(played.is_ok(), "{}", played.unwrap_err());
 }
 
+/// Guards against an instance that stays away after it was started with a full disk.
+#[test]
+fn instances_started_with_full_disks_take_part_once_there_is_room() {
+    let full = Loss::StartedWhileFull(Duration::from_secs(3));
+    let losses = (0..CONTROLS).map(|i| (i, full)).collect();
+    let rt = Runtime::start(2);
+    let played = async_io::block_on(play(&rt, 252, losses));
+    assert!(played.is_ok(), "{}", played.unwrap_err());
+}
+
 /// Guards against orders of losses of all kinds after which the configuration does not come.
 #[test]
 fn configuration_is_read_back_after_drawn_losses() {
