Log: peers are known after a restart although all seeds are gone

What callers would see: all control instances have been replaced in turn, then the power of all is lost. Settings still name the first seeds. No instance finds another one: every read and change is refused for good.

Cause: the addresses of peers were only in memory. After a restart, an instance knew the seeds in its settings only, and the members in its log are identities without addresses.

Ruled out: seeds of one or two exchanges ago. At least one of them is still there, and the others find each other by it.

Tests: soak/deployment.rs: `seeds` is public and `data` is new, for the test; nothing else changed.

--- a/crates/daemons/tests/soak/deployment.rs
+++ b/crates/daemons/tests/soak/deployment.rs
@@ -52,7 +52,7 @@
     /// The relay in front of each runner.
     pub relays: Vec<TcpRelay>,
     /// Addresses of the control instances that settings name; after a replacement they lag by one.
-    seeds: Vec<SocketAddr>,
+    pub seeds: Vec<SocketAddr>,
     replacements: u8,
     folder: PathBuf,
     keep_data: bool,
@@ -198,9 +198,14 @@
         }
     }
 
+    /// Data folder of a process.
+    pub fn data(&self, i: usize) -> PathBuf {
+        self.folder.join(&self.processes[i].name)
+    }
+
     /// Deletes the data of a process that is not running.
     pub fn delete_data(&self, i: usize) {
-        let _ = std::fs::remove_dir_all(self.folder.join(&self.processes[i].name));
+        let _ = std::fs::remove_dir_all(self.data(i));
     }
 
     /// Returns the exit status of a process that has exited, and marks it as not running.
--- a/crates/log/src/handle.rs
+++ b/crates/log/src/handle.rs
@@ -48,6 +48,7 @@
 use crate::driver::Event;
 use crate::driver::LogDriver;
 use crate::driver::LogView;
+use crate::known_peers::KnownPeers;
 
 /// Message batches that may be queued for one peer. Further ones are dropped, and the peer catches
 /// up later.
@@ -87,6 +88,7 @@
     events: Option<Sender<Event>>,
     view: RwLock<Option<LogView>>,
     names: Mutex<HashMap<ReplicaId, String>>,
+    known_peers: KnownPeers,
     /// When the last message of each instance arrived, by name.
     heard_at: Mutex<HashMap<String, Instant>>,
     clock: Arc<dyn Clock>,
@@ -130,6 +132,8 @@
         clock: Arc<dyn Clock>,
     ) -> std::io::Result<(Self, Receiver<Arc<StateMachine>>)> {
         let (state_machines, changed) = async_channel::bounded(1);
+        // Before the journal, whose start syncs the data folder.
+        let known_peers = cfg.data.as_deref().map(KnownPeers::open).unwrap_or_default();
         let opened = cfg.data.as_ref().map(|path| open(path)).transpose()?;
         let (events_tx, events) = async_channel::unbounded();
         let id = opened.as_ref().map(|(id, _, _)| *id);
@@ -141,6 +145,7 @@
             events: id.is_some().then_some(events_tx),
             view: RwLock::new(None),
             names: Mutex::new(id.map(|id| (id, own_name)).into_iter().collect()),
+            known_peers,
             heard_at: Mutex::new(HashMap::new()),
             clock: clock.clone(),
             state_machines,
@@ -150,6 +155,11 @@
         for p in &handle.shared.cfg.peers {
             handle.add_peer(p.clone());
         }
+        for p in handle.shared.known_peers.settings() {
+            if handle.peer(&p.name).is_none() {
+                handle.add_peer(p);
+            }
+        }
         if let Some(opened) = opened {
             handle.clone().run_replica(opened, events, clock)?;
             rt.spawn(handle.clone().run_hello_rounds());
@@ -391,6 +401,9 @@
     }
 
     fn record_name(&self, id: ReplicaId, name: String) {
+        if let Some(peer) = self.peer(&name) {
+            self.shared.known_peers.record(&name, peer.address);
+        }
         let mut names = self.shared.names.lock().unwrap_or_else(PoisonError::into_inner);
         names.insert(id, name.clone());
         drop(names);
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod driver;
 mod handle;
+mod known_peers;
 mod service;
 mod settings;
 
