--- a/crates/daemons/tests/soak.rs
+++ b/crates/daemons/tests/soak.rs
@@ -96,6 +96,7 @@
         let (runner, relay) = (d.runners[i].clone(), d.relays[i].address());
         operator::send_heartbeats(
             rt,
+            "s",
             runner,
             relay,
             format!("d{}", i % DOMAINS),
--- a/crates/daemons/tests/soak/operator.rs
+++ b/crates/daemons/tests/soak/operator.rs
@@ -47,10 +47,11 @@
     timeout(CALL_TIMEOUT, call).await.flatten().unwrap_or_default()
 }
 
-/// Sends a runner's heartbeats until `stop` is set, and tries the next control instance after a
-/// failure.
+/// Sends the heartbeats of a service's runner until `stop` is set, and tries the next control instance
+/// after a failure.
 pub fn send_heartbeats(
     rt: &Runtime,
+    service: &'static str,
     runner: Arc<Runner>,
     relay: SocketAddr,
     zone: String,
@@ -61,7 +62,7 @@
     rt.spawn(async move {
         let mut failures = 0;
         while !stop.load(Ordering::Acquire) {
-            let (path, body) = runner.heartbeat("s", &zone, relay, "ready");
+            let (path, body) = runner.heartbeat(service, &zone, relay, "ready");
             let to = controls[failures % controls.len()];
             let reply = timeout(Duration::from_secs(1), call(&rt2, to, "POST", &path, &body)).await;
             if reply.is_none_or(|(status, _)| status != 200) {
