--- a/crates/daemons/tests/soak/deployment.rs
+++ b/crates/daemons/tests/soak/deployment.rs
@@ -76,6 +76,19 @@
         runners: usize,
         gateways: usize,
         folder: PathBuf,
+    ) -> Self {
+        let mut d = Self::prepare(rt, net, runners, gateways, folder).await;
+        (0..d.processes.len()).for_each(|i| d.spawn(i, true));
+        d
+    }
+
+    /// Starts the fake runners only; the processes are started one by one.
+    pub async fn prepare(
+        rt: &Runtime,
+        net: [u8; 2],
+        runners: usize,
+        gateways: usize,
+        folder: PathBuf,
     ) -> Self {
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).unwrap();
@@ -101,7 +114,6 @@
             d.runners.push(Arc::new(runner));
         }
         d.seeds = (0..CONTROLS).map(|c| d.control(c)).collect();
-        (0..d.processes.len()).for_each(|i| d.spawn(i, true));
         d
     }
 
@@ -151,10 +163,16 @@
         yaml.to_string()
     }
 
-    /// Starts a process; `bootstrap` is set at the first start of the whole system.
-    pub fn spawn(&mut self, i: usize, bootstrap: bool) {
+    /// Writes the settings of a process, which may be running; returns their path.
+    pub fn write_settings(&self, i: usize, bootstrap: bool) -> PathBuf {
         let settings = self.folder.join(format!("{}.yaml", self.processes[i].name));
         std::fs::write(&settings, self.settings(i, bootstrap)).unwrap();
+        settings
+    }
+
+    /// Starts a process; `bootstrap` is set at the first start of the whole system.
+    pub fn spawn(&mut self, i: usize, bootstrap: bool) {
+        let settings = self.write_settings(i, bootstrap);
         let log = self.folder.join(format!("{}.log", self.processes[i].name));
         let log = File::options().create(true).append(true).open(log).unwrap();
         let program = match self.processes[i].kind {
