--- a/crates/daemons/tests/soak/deployment.rs
+++ b/crates/daemons/tests/soak/deployment.rs
@@ -84,7 +84,9 @@
         gateways: usize,
         folder: PathBuf,
     ) -> Self {
-        Self::start_with(rt, net, runners, gateways, folder, None).await
+        let mut d = Self::prepare(rt, net, runners, gateways, folder).await;
+        (0..d.processes.len()).for_each(|i| d.spawn(i, true));
+        d
     }
 
     /// Starts the control instances and `gateways` gateways with relays between all of them.
@@ -94,10 +96,23 @@
         gateways: usize,
         folder: PathBuf,
     ) -> Self {
-        Self::start_with(rt, net, 0, gateways, folder, Some(Links::default())).await
+        let mut d = Self::prepare_with(rt, net, 0, gateways, folder, Some(Links::default())).await;
+        (0..d.processes.len()).for_each(|i| d.spawn(i, true));
+        d
     }
 
-    async fn start_with(
+    /// Starts the fake runners only; the processes are started one by one.
+    pub async fn prepare(
+        rt: &Runtime,
+        net: [u8; 2],
+        runners: usize,
+        gateways: usize,
+        folder: PathBuf,
+    ) -> Self {
+        Self::prepare_with(rt, net, runners, gateways, folder, None).await
+    }
+
+    async fn prepare_with(
         rt: &Runtime,
         net: [u8; 2],
         runners: usize,
@@ -137,7 +152,6 @@
                 d.peer_relays.push(relay);
             }
         }
-        (0..d.processes.len()).for_each(|i| d.spawn(i, true));
         d
     }
 
@@ -204,10 +218,16 @@
         yaml.to_string()
     }
 
-    /// Starts a process; `bootstrap` is set at the first start of the whole system.
-    pub fn spawn(&mut self, i: usize, bootstrap: bool) {
+    /// Writes the settings of a process, which may be running; returns their path.
+    pub fn write_settings(&self, i: usize, bootstrap: bool) -> PathBuf {
         let settings = self.folder.join(format!("{}.yaml", self.processes[i].name));
         std::fs::write(&settings, self.settings(i, bootstrap)).unwrap();
+        settings
+    }
+
+    /// Starts a process; `bootstrap` is set at the first start of the whole system.
+    pub fn spawn(&mut self, i: usize, bootstrap: bool) {
+        let settings = self.write_settings(i, bootstrap);
         let log = self.folder.join(format!("{}.log", self.processes[i].name));
         let log = File::options().create(true).append(true).open(log).unwrap();
         let program = match self.processes[i].kind {
