Gateway: an endpoint that changed its service leaves the first one

What callers saw: requests of one service were run by an endpoint of another one, if that had started again under the id and at the address that it had. Expect-Instance doesn't help, since the id is the same.

Cause: each heartbeat goes to the pool of the service that it names. The pool of the service before kept the endpoint as ready; only an address taken over by another id was taken out there.

Ruled out: the wait in the test for the first request to the new service; the endpoint is in both pools for good, not only until the next update.

Why it works: the registration that a heartbeat of another service replaces is marked as gone in the pool of its service, as one whose address was taken over already is.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -9,6 +9,7 @@
 use crocustally_core::dispatch::RankState;
 use crocustally_core::fleet::Heartbeat;
 use crocustally_core::fleet::HeartbeatState;
+use crocustally_core::fleet::Registration;
 use crocustally_core::fleet::RegistryChange;
 use crocustally_net::Channel;
 use crocustally_net::sleep;
@@ -134,10 +135,12 @@
     let (id, born_ms, state) =
         (heartbeat.id.clone(), heartbeat.born_ms, HeartbeatState::from_number(heartbeat.state));
     let mut fleet = gateway.fleet();
-    let mut holder = None;
+    let (mut holder, mut moved) = (None, None);
     let change = match Heartbeat::try_from(heartbeat) {
         Ok(beat) => {
             holder = fleet.registry.holder(&beat.address).filter(|h| *h != id).map(str::to_owned);
+            moved =
+                fleet.registry.get(&id).filter(|r| r.heartbeat.service != beat.service).cloned();
             fleet.registry.record_heartbeat(received_at, beat)
         }
         // The notice of an endpoint that left before any heartbeat was seen has only its id.
@@ -157,6 +160,10 @@
         pool.with_pool(|pool| pool.update_registration(&replaced));
     }
     let (Some(known), true) = (known, change != RegistryChange::Ignored) else { return };
+    if let Some(moved) = moved {
+        // The pool of the service that it had does not see its later heartbeats.
+        remove_from_pool(gateway, moved);
+    }
     if change == RegistryChange::Changed {
         log::info!(
             endpoint = id.as_str(),
@@ -175,6 +182,18 @@
     });
 }
 
+/// Takes an endpoint out of the pool of a service to which it no longer belongs.
+fn remove_from_pool(gateway: &Gateway, mut moved: Registration) {
+    moved.replaced |= moved.heartbeat.state == HeartbeatState::Ready;
+    moved.heartbeat.state = HeartbeatState::Gone;
+    log::info!(
+        endpoint = moved.heartbeat.id.as_str(), service = moved.heartbeat.service.as_str();
+        "endpoint left its service for another one"
+    );
+    let pool = gateway.pool(&moved.heartbeat.service);
+    pool.with_pool(|pool| pool.update_registration(&moved));
+}
+
 fn apply_rank_loads(gateway: &Arc<Gateway>, batch: &LoadBatch) {
     let now = gateway.clock.now();
     let loads = batch.endpoints.iter().zip(&batch.loads).zip(&batch.ages_ms);
