Gateway: control instances that nobody names any more are given up

What callers would see: nothing at once. Each gateway called every control instance that was ever named, every 0.25 s, for good: calls that grow with each replacement, and that reach whoever gets the address next.

Now an instance that is not connected, is no seed of the newest settings and is named by no connected instance for 30 s is given up, and followed again once it is named. A gateway without any connected instance gives none up, as it may itself be cut off.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -26,12 +26,16 @@
 /// Pause before reconnecting to a control instance.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
-/// Starts following the control instances of `controls` that are not followed yet.
-pub(crate) fn follow_all(gateway: &Arc<Gateway>, controls: &[SocketAddr]) {
+/// Follows the control instances that the settings name, and those that are discovered by them.
+pub(crate) fn follow_seeds(gateway: &Arc<Gateway>, seeds: &[SocketAddr]) {
+    let now = gateway.clock.now();
+    let added = gateway.fleet().followed_controls.set_seeds(now, seeds);
+    follow_all(gateway, added);
+}
+
+fn follow_all(gateway: &Arc<Gateway>, controls: Vec<SocketAddr>) {
     for address in controls {
-        if gateway.fleet().followed_controls.insert(*address) {
-            gateway.rt.spawn(follow(gateway.clone(), *address));
-        }
+        gateway.rt.spawn(follow(gateway.clone(), address));
     }
 }
 
@@ -49,18 +53,24 @@
             gateway.fleet().control_clients.insert(address, client.clone());
             log::info!(control = control.as_str(); "control instance followed");
             while let Ok(Some(update)) = updates.message().await {
-                apply_update(&gateway, update);
+                apply_update(&gateway, address, update);
             }
         }
+        let now = gateway.clock.now();
         gateway.fleet().control_clients.remove(&address);
         if std::mem::take(&mut connected) {
             log::warn!(control = control.as_str(); "control instance lost");
+            gateway.fleet().followed_controls.record_disconnected(now, address);
+        }
+        if gateway.fleet().followed_controls.give_up(now, address) {
+            log::info!(control = control.as_str(); "control instance is gone, no longer followed");
+            return;
         }
         sleep(RETRY_PAUSE).await;
     }
 }
 
-fn apply_update(gateway: &Arc<Gateway>, update: Update) {
+fn apply_update(gateway: &Arc<Gateway>, from: SocketAddr, update: Update) {
     let mut pools_changed = !update.endpoints.is_empty() || !update.loads.is_empty();
     for heartbeat in update.endpoints {
         apply_heartbeat(gateway, heartbeat);
@@ -116,7 +126,11 @@
     }
     let controls: Vec<SocketAddr> =
         update.controls.iter().filter_map(|text| text.parse().ok()).collect();
-    follow_all(gateway, &controls);
+    if !controls.is_empty() {
+        let now = gateway.clock.now();
+        let added = gateway.fleet().followed_controls.record_list(now, from, controls);
+        follow_all(gateway, added);
+    }
     if update.policy_version > 0 {
         gateway.announce_policy(update.policy_version);
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -43,6 +43,7 @@
 use crate::endpoint_ends::CrashReports;
 use crate::endpoint_ends::Trials;
 use crate::feed;
+use crate::followed_controls::FollowedControls;
 use crate::frontend;
 use crate::policy_fetch;
 use crate::slots::SlotPool;
@@ -97,7 +98,7 @@
     /// Clients of the control instances that the gateway follows.
     pub(crate) control_clients: HashMap<SocketAddr, ControlClient<Channel>>,
     /// Control instances with a task that follows them.
-    pub(crate) followed_controls: BTreeSet<SocketAddr>,
+    pub(crate) followed_controls: FollowedControls,
     /// Newest policy version announced by any control instance.
     pub(crate) newest_policy_version: u64,
 }
@@ -169,7 +170,7 @@
             clock,
             cfg,
         });
-        feed::follow_all(&gateway, &gateway.cfg.controls.clone());
+        feed::follow_seeds(&gateway, &gateway.cfg.controls);
         rt.spawn(policy_fetch::keep_policy_current(gateway.clone()));
         rt.spawn(endpoint_ends::report_loop(gateway.clone()));
         let limits = HttpLimits {
@@ -221,9 +222,9 @@
         elapsed + expected <= self.answer_time()
     }
 
-    /// Follows control instances that reloaded settings add.
+    /// Follows the control instances that reloaded settings name.
     pub fn follow(self: &Arc<Self>, controls: &[SocketAddr]) {
-        feed::follow_all(self, controls);
+        feed::follow_seeds(self, controls);
     }
 
     /// The policy in force.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod events;
 mod exchange;
 mod feed;
+mod followed_controls;
 mod frontend;
 mod gateway;
 mod policy_fetch;
