Log: control instances that are gone for good are forgotten

What callers would see: nothing at once. Every control instance that ever was is greeted every 5 s, told to gateways and told of each departure for good. Where gone addresses are silent, each departure waits 0.3 s for them, and each round of hello calls 0.4 s (both read in the code, not measured).

Cause: peers were only added; hello replies named them back and forth, and settings that no longer name one did not matter.

Now a control instance forgets a peer after 60 s without direct contact, unless it is a seed of the newest settings or a member of the group by its own log. It names one to others for half of that at most after its own last contact, so that gone ones aren't told back and forth. Safe for one that is only cut off: an instance forgets nothing while it knows no leader, or not the names of all members, so the one that is cut off still knows the others and its first hello call brings it back. Entries keep all peers, since their reports list those that are out of reach.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -190,9 +190,8 @@
 
     /// Applies changed settings. Only new seeds take effect without a restart.
     pub fn reload(&self, cfg: &ControlSettings) {
-        for p in cfg.log_settings().peers {
-            self.log.add_peer(PeerSettings { voter: false, ..p });
-        }
+        let seeds = cfg.log_settings().peers.into_iter();
+        self.log.set_seeds(seeds.map(|p| PeerSettings { voter: false, ..p }).collect());
     }
 
     pub(crate) fn soft_state(&self) -> MutexGuard<'_, SoftState> {
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -14,6 +14,10 @@
 use crocustally_net::parse_address;
 use serde::Deserialize;
 
+/// Time without contact after which an instance that has no part in the log is forgotten: many times
+/// that in which a lost one is replaced.
+const FORGET_TIME: Duration = Duration::from_secs(60);
+
 /// The settings file of a control instance in YAML, not yet validated.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -133,6 +137,7 @@
             initial_voter: self.bootstrap && self.seeds.contains(&self.peer_advertise),
             repair: self.repair,
             may_vote: Vec::new(),
+            forget_after: Some(FORGET_TIME),
         }
     }
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -137,6 +137,7 @@
             name: self.name.clone(),
             address: self.peer_listen,
             source: self.source,
+            forget_after: None,
             data: self.data.clone(),
             peers: self.peers.clone(),
             initial_voter: self.voter,
--- a/crates/log/src/handle.rs
+++ b/crates/log/src/handle.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -77,6 +78,9 @@
     voter: bool,
     channel: Channel,
     tx: Option<Sender<(ReplicaId, Vec<Message>)>>,
+    /// Whether the settings name it; it is not forgotten then.
+    is_seed: bool,
+    added_at: Instant,
 }
 
 struct Shared {
@@ -89,6 +93,8 @@
     names: Mutex<HashMap<ReplicaId, String>>,
     /// When the last message of each instance arrived, by name.
     heard_at: Mutex<HashMap<String, Instant>>,
+    /// When the last hello or reply to one arrived from each instance, by name.
+    greeted_at: Mutex<HashMap<String, Instant>>,
     clock: Arc<dyn Clock>,
     state_machines: Sender<Arc<StateMachine>>,
 }
@@ -142,13 +148,14 @@
             view: RwLock::new(None),
             names: Mutex::new(id.map(|id| (id, own_name)).into_iter().collect()),
             heard_at: Mutex::new(HashMap::new()),
+            greeted_at: Mutex::new(HashMap::new()),
             clock: clock.clone(),
             state_machines,
             cfg,
         };
         let handle = Self { shared: Arc::new(shared) };
         for p in &handle.shared.cfg.peers {
-            handle.add_peer(p.clone());
+            handle.add_peer(p.clone(), true);
         }
         if let Some(opened) = opened {
             handle.clone().run_replica(opened, events, clock)?;
@@ -205,8 +212,21 @@
         }
     }
 
+    /// Adds the peers that new settings name. Those that only earlier settings named count as discovered
+    /// from now on.
+    pub fn set_seeds(&self, seeds: Vec<PeerSettings>) {
+        let names: HashSet<String> = seeds.iter().map(|p| p.name.clone()).collect();
+        for p in seeds {
+            self.add_peer(p, true);
+        }
+        let mut peers = self.shared.peers.write().unwrap_or_else(PoisonError::into_inner);
+        for peer in peers.values_mut() {
+            peer.is_seed = names.contains(&peer.name);
+        }
+    }
+
     /// Adds a peer and connects to it, or replaces the connection if its address has changed.
-    pub fn add_peer(&self, p: PeerSettings) {
+    fn add_peer(&self, p: PeerSettings, is_seed: bool) {
         let shared = &self.shared;
         let mut peers = shared.peers.write().unwrap_or_else(PoisonError::into_inner);
         if p.name == shared.cfg.name || peers.get(&p.name).is_some_and(|k| k.address == p.address) {
@@ -216,7 +236,15 @@
         let channel = Channel::with_source(&shared.rt, p.address, shared.cfg.source);
         let tx = shared.id.is_some().then_some(tx);
         let PeerSettings { name, address, voter } = p;
-        let peer = Peer { name: name.clone(), address, voter, channel: channel.clone(), tx };
+        let peer = Peer {
+            name: name.clone(),
+            address,
+            voter,
+            channel: channel.clone(),
+            tx,
+            is_seed,
+            added_at: shared.clock.now(),
+        };
         peers.insert(name, peer);
         drop(peers);
         if shared.id.is_some() {
@@ -376,12 +404,13 @@
     pub fn hello(&self, req: HelloRequest) -> HelloReply {
         if req.identity != 0 {
             self.add_reported_peer(&req.name, &req.address);
+            self.record_greeting(&req.name);
             self.record_name(ReplicaId(req.identity), req.name);
         }
         let identity = self.shared.id.map_or(0, |id| id.0);
         let has_log = self.view().is_some_and(|v| v.has_log);
         let to_wire = |p: Peer| ReplicaPeer { name: p.name, address: p.address.to_string() };
-        let peers = self.all_peers().into_iter().map(to_wire).collect();
+        let peers = self.peers_to_name().into_iter().map(to_wire).collect();
         let may_found = self.shared.cfg.initial_voter && !has_log;
         HelloReply { identity, has_log, peers, may_found }
     }
@@ -431,6 +460,9 @@
                 }
             }
             let has_leader = self.view().is_some_and(|v| v.leader.is_some());
+            if has_leader {
+                self.forget_gone_peers();
+            }
             sleep(if has_leader { HELLO_INTERVAL } else { HELLO_INTERVAL_NO_LEADER }).await;
         }
     }
@@ -498,6 +530,7 @@
         let address = self.shared.cfg.address.to_string();
         let req = HelloRequest { name, identity, address };
         let reply = timeout(CALL_TIMEOUT, client.hello(req)).await?.ok()?.into_inner();
+        self.record_greeting(&peer.name);
         if reply.identity != 0 {
             self.record_name(ReplicaId(reply.identity), peer.name.clone());
         }
@@ -512,7 +545,7 @@
     fn add_reported_peer(&self, name: &str, address: &str) {
         let known = name == self.shared.cfg.name || self.peer(name).is_some();
         let (false, Ok(address)) = (known, address.parse()) else { return };
-        self.add_peer(PeerSettings { name: name.to_owned(), address, voter: false });
+        self.add_peer(PeerSettings { name: name.to_owned(), address, voter: false }, false);
         if let (Some(_), Some(peer)) = (self.shared.id, self.peer(name)) {
             let handle = self.clone();
             self.shared.rt.spawn(async move {
@@ -521,6 +554,65 @@
         }
     }
 
+    // ------------------------------------------------------------------------------------------
+    // Forgetting instances that are gone
+
+    fn record_greeting(&self, name: &str) {
+        let now = self.shared.clock.now();
+        let mut greeted_at = self.shared.greeted_at.lock().unwrap_or_else(PoisonError::into_inner);
+        greeted_at.insert(name.to_owned(), now);
+    }
+
+    /// When an instance last was in direct contact.
+    fn last_contact(&self, name: &str) -> Option<Instant> {
+        let at = |times: &Mutex<HashMap<String, Instant>>| {
+            times.lock().unwrap_or_else(PoisonError::into_inner).get(name).copied()
+        };
+        at(&self.shared.heard_at).max(at(&self.shared.greeted_at))
+    }
+
+    /// Names of the group's members; `None` if not all of them are known, as without a log.
+    fn member_names(&self) -> Option<HashSet<String>> {
+        let view = self.view().filter(|v| v.has_log)?;
+        view.members.all().map(|id| self.name_of(id)).collect()
+    }
+
+    /// Peers that other instances are told of. One that is gone would be told back and forth for good, so
+    /// only direct contact counts.
+    fn peers_to_name(&self) -> Vec<Peer> {
+        let Some(forget_after) = self.shared.cfg.forget_after else { return self.all_peers() };
+        let (now, members) = (self.shared.clock.now(), self.member_names());
+        let in_contact = |p: &Peer| {
+            let at = self.last_contact(&p.name);
+            at.is_some_and(|at| now.saturating_duration_since(at) < forget_after / 2)
+        };
+        let is_member = |p: &Peer| members.as_ref().is_none_or(|m| m.contains(&p.name));
+        let mut peers = self.all_peers();
+        peers.retain(|p| p.is_seed || is_member(p) || in_contact(p));
+        peers
+    }
+
+    /// Forgets peers without contact that are neither seeds nor members. Not called without a leader: an
+    /// instance that is itself cut off has to find the others again.
+    fn forget_gone_peers(&self) {
+        let (Some(forget_after), Some(members)) =
+            (self.shared.cfg.forget_after, self.member_names())
+        else {
+            return;
+        };
+        let now = self.shared.clock.now();
+        let is_gone = |p: &Peer| {
+            let at = self.last_contact(&p.name).map_or(p.added_at, |at| at.max(p.added_at));
+            let silent = now.saturating_duration_since(at) >= forget_after;
+            silent && !p.is_seed && !members.contains(&p.name)
+        };
+        for peer in self.all_peers().iter().filter(|p| is_gone(p)) {
+            log::info!(name = peer.name.as_str(); "instance forgotten, it was silent for long");
+            let mut peers = self.shared.peers.write().unwrap_or_else(PoisonError::into_inner);
+            peers.remove(&peer.name);
+        }
+    }
+
     /// The executor, for work that continues after the caller's request has ended.
     pub fn rt(&self) -> &Runtime {
         &self.shared.rt
--- a/crates/log/src/settings.rs
+++ b/crates/log/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use crocustally_core::raft::RepairSettings;
 
@@ -39,6 +40,9 @@
     pub repair: RepairSettings,
     /// Names of the instances that may become voters; empty allows any instance with a disk.
     pub may_vote: Vec<String>,
+    /// Time without contact after which a discovered peer that is no member is forgotten, and half of
+    /// which after it is no longer named to others; `None` keeps all.
+    pub forget_after: Option<Duration>,
 }
 
 impl LogSettings {
