--- a/crates/log/src/handle.rs
+++ b/crates/log/src/handle.rs
@@ -164,7 +164,7 @@
         }
         for p in handle.shared.known_peers.settings() {
             if handle.peer(&p.name).is_none() {
-                handle.add_peer(p);
+                handle.add_peer(p, false);
             }
         }
         if let Some(opened) = opened {
