Net: buffered bodies share a memory budget of the process

What callers saw: endpoints that sent bytes without end took a gateway over its memory, and the requests of all others on that machine ended with it.

Cause: each answer had a limit, their sum had none. 120 answers of up to 8 MiB, and a read buffer of up to 400 KiB for each connection, fit into no machine of 260 MB.

Ruled out: one head, one header line, one event, trailers (each has its limit; platform/tests/endless.rs).

Why it works: all buffered bodies are charged to one budget, a quarter of memory_mb. A body of unknown length may hold an eighth of what is free, so that any number of them leaves room; known lengths are reserved at once. A caller's body without room: 2014, 503, not run. An answer without room: 4006, 502, may have run, and its connection is closed. The read buffer of a connection to an endpoint is 16 KiB.

--- a/crates/agent/src/health.rs
+++ b/crates/agent/src/health.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use crocustally_core::control::ServiceKind;
+use crocustally_net::BufferBudget;
 use crocustally_net::collect_body;
 use crocustally_net::sleep;
 use crocustally_net::timeout;
@@ -52,7 +53,9 @@
     let req = req.ok()?;
     let report = async {
         let (response, tx) = agent.client.send(req, false).await.ok()?;
-        let body = collect_body(&mut response.into_body(), HEALTH_BODY_MAX).await.ok()?;
+        let budget = BufferBudget::unbounded();
+        let mut body = response.into_body();
+        let body = collect_body(&mut body, HEALTH_BODY_MAX, &budget).await.ok()?;
         agent.client.put_idle(tx);
         serde_json::from_slice(&body).ok()
     };
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -39,7 +39,8 @@
 ) -> Response<ResponseBody> {
     let (head, mut body) = req.into_parts();
     let dialect = control.dialect.clone();
-    let read = timeout(BODY_TIMEOUT, collect_body(&mut body, POLICY_BYTES_MAX)).await;
+    let read =
+        timeout(BODY_TIMEOUT, collect_body(&mut body, POLICY_BYTES_MAX, &control.buffers)).await;
     let body = match read {
         Some(Ok(body)) => body,
         failed => {
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -21,6 +21,7 @@
 use crocustally_log::LogView;
 use crocustally_log::PeerSettings;
 use crocustally_log::ReplicaService;
+use crocustally_net::BufferBudget;
 use crocustally_net::Clock;
 use crocustally_net::HttpLimits;
 use crocustally_net::Runtime;
@@ -74,6 +75,8 @@
 /// One control instance.
 pub struct Control {
     pub(crate) cfg: ControlSettings,
+    /// Memory for the bodies of calls.
+    pub(crate) buffers: BufferBudget,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) log: LogHandle,
     pub(crate) dialect: Arc<dyn ControlDialect>,
@@ -120,6 +123,7 @@
             coordinator: Mutex::new(Coordinator::new(cfg.copy_time)),
             delegation: Mutex::new(Delegation::default()),
             policy: RwLock::new(None),
+            buffers: BufferBudget::of_process(cfg.memory_mb),
             cfg,
         });
         rt.spawn(control.clone().watch_log(state_machines));
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -42,6 +42,10 @@
     /// Time that the expert copies of one plan may take at one rank, in milliseconds.
     #[serde(default = "default_copy_time")]
     pub copy_time_ms: f64,
+    /// Memory that the process may use, in megabytes (2^20 bytes); a quarter of it is for buffered
+    /// bodies.
+    #[serde(default = "default_memory")]
+    pub memory_mb: usize,
     /// Number of executor threads, besides the thread of the replicated log.
     #[serde(default = "default_threads")]
     pub threads: usize,
@@ -67,6 +71,11 @@
     400.0
 }
 
+/// Of the smallest machine for a control instance.
+fn default_memory() -> usize {
+    260
+}
+
 fn default_threads() -> usize {
     1
 }
@@ -92,6 +101,8 @@
     pub data: PathBuf,
     /// Time that the expert copies of one plan may take at one rank.
     pub copy_time: Duration,
+    /// Memory that the process may use, in megabytes (2^20 bytes).
+    pub memory_mb: usize,
     /// Number of executor threads, besides the thread of the replicated log.
     pub threads: usize,
     /// Format of log lines.
@@ -141,6 +152,9 @@
         if catch_up.is_zero() {
             return Err(SettingsError::invalid("catch_up_s", "must be more than 0"));
         }
+        if raw.memory_mb == 0 {
+            return Err(SettingsError::invalid("memory_mb", "must be 1 or more"));
+        }
         if raw.threads == 0 {
             return Err(SettingsError::invalid("threads", "must be 1 or more"));
         }
@@ -160,6 +174,7 @@
             repair: RepairSettings { voters: 2 * raw.losses + 1, catch_up },
             data: raw.data,
             copy_time: Duration::from_secs_f64(raw.copy_time_ms / 1e3),
+            memory_mb: raw.memory_mb,
             threads: raw.threads,
             log: raw.log,
             admin: raw.admin.map(|a| a.resolve()).transpose()?,
--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -97,6 +97,7 @@
     EngineUnreachable = 2011, 503, No, "The agent could not open a connection to its engine.";
     EntryLeaving = 2012, 503, No, "The entry instance is stopping and takes no new requests.";
     NotReady = 2013, 503, No, "The entry instance has no configuration yet.";
+    MemoryShort = 2014, 503, No, "The instance has no memory left for the request's body.";
     KeyConflict = 3001, 422, No, "The idempotency key was used with another request.";
     OutcomeUnknown = 3002, 502, Unknown, "The request may have run; it will not be run again.";
     NoQuorum = 3003, 503, No, "The claim could not be replicated, so the request was not sent.";
@@ -109,6 +110,7 @@
     EngineFailed = 4003, 502, Unknown, "The engine broke off the request.";
     DeadlineOver = 4004, 504, Unknown, "The answer did not arrive within the deadline.";
     PromptBlocked = 4005, 503, No, "A part of the prompt crashes endpoints; requests with it are refused.";
+    AnswerUnbuffered = 4006, 502, Unknown, "The instance had no memory left for the answer.";
     TicketConflict = 5001, 409, No, "The ticket number was decided with other content.";
     TicketStale = 5002, 409, No, "A later ticket has changed something that this one touches.";
     TicketInvalid = 5003, 400, No, "The ticket does not describe a valid state.";
--- a/crates/daemons/tests/soak/deployment.rs
+++ b/crates/daemons/tests/soak/deployment.rs
@@ -181,6 +181,14 @@
         }
     }
 
+    /// Peak resident memory of a process in bytes; 0 if it is not running.
+    pub fn peak_memory(&self, i: usize) -> u64 {
+        let Some(pid) = self.processes[i].child.as_ref().map(Child::id) else { return 0 };
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap_or("0 kB");
+        line.trim().trim_end_matches(" kB").parse::<u64>().unwrap() * 1024
+    }
+
     /// Makes the files of a process take no more bytes, its log included, or take them again.
     pub fn set_disk_full(&self, i: usize, full: bool) {
         let pid = self.processes[i].child.as_ref().and_then(|c| Pid::from_raw(c.id() as i32));
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -59,6 +59,8 @@
     pub(crate) id: OnceLock<String>,
     /// Whether an endpoint may have executed it.
     pub(crate) may_have_run: AtomicBool,
+    /// Whether an answer to it was broken off because no memory was left to buffer it.
+    pub(crate) answer_unbuffered: AtomicBool,
 }
 
 /// A decoded request with its route, slot pool and deadline.
@@ -253,7 +255,13 @@
 
     /// Fails a request that an endpoint may have executed.
     pub(crate) fn fail(&mut self) -> Response<ResponseBody> {
-        let code = if self.remaining().is_zero() { Code::DeadlineOver } else { Code::AnswerBroken };
+        let code = if self.progress.answer_unbuffered.load(Ordering::Acquire) {
+            Code::AnswerUnbuffered
+        } else if self.remaining().is_zero() {
+            Code::DeadlineOver
+        } else {
+            Code::AnswerBroken
+        };
         self.reject(code, None)
     }
 }
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -10,13 +10,13 @@
 use crocustally_core::dispatch::EarlierSends;
 use crocustally_core::traffic::Route;
 use crocustally_core::traffic::TrafficPolicy;
+use crocustally_net::BufferBudget;
+use crocustally_net::CollectError;
 use crocustally_net::ResponseBody;
+use crocustally_net::collect_body;
 use crocustally_net::full_body;
 use crocustally_net::timeout;
 use futures_lite::future;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -46,6 +46,9 @@
 /// another gateway.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// `Retry-After` of a request for whose body no memory was left: buffered answers are short of that.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(1000);
+
 /// Serves the readiness check.
 pub(crate) async fn handle_readiness(
     gateway: Arc<Gateway>,
@@ -128,7 +131,10 @@
     let Authorized { route, workspace } =
         authorized.map_err(|code| reject(Some(&meta.id), code, None))?;
     let limit = policy.limits().body_bytes;
-    let body = read_body(body, limit).await.map_err(|code| reject(Some(&meta.id), code, None))?;
+    let body = read_body(body, limit, &gateway.buffers).await.map_err(|code| {
+        let retry_after = (code == Code::MemoryShort).then_some(MEMORY_RETRY_AFTER);
+        reject(Some(&meta.id), code, retry_after)
+    })?;
     let caller = meta.api_key.as_deref().unwrap_or_default().as_bytes();
     let digest = Digest::of(&[head.uri.path().as_bytes(), caller, &body]);
     if gateway.fleet().crash_tracker.is_quarantined(digest) {
@@ -196,12 +202,12 @@
     Ok(Authorized { route, workspace })
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Code> {
-    let read = timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
-    match read {
+async fn read_body(mut body: Incoming, limit: usize, budget: &BufferBudget) -> Result<Bytes, Code> {
+    match timeout(BODY_TIMEOUT, collect_body(&mut body, limit, budget)).await {
         None => Err(Code::CallerTooSlow),
-        Some(Ok(body)) => Ok(body.to_bytes()),
-        Some(Err(e)) if e.is::<LengthLimitError>() => Err(Code::BodyTooLarge),
-        Some(Err(_)) => Err(Code::BadFraming),
+        Some(Ok(body)) => Ok(body),
+        Some(Err(CollectError::TooLong)) => Err(Code::BodyTooLarge),
+        Some(Err(CollectError::NoMemory)) => Err(Code::MemoryShort),
+        Some(Err(CollectError::Broken(_))) => Err(Code::BadFraming),
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 use crocustally_core::traffic::ServicePolicy;
 use crocustally_core::traffic::TrafficPolicy;
 use crocustally_net::Abandonment;
+use crocustally_net::BufferBudget;
 use crocustally_net::Channel;
 use crocustally_net::Clock;
 use crocustally_net::HttpClient;
@@ -121,6 +122,8 @@
     pub(crate) rt: Runtime,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) shutdown: Shutdown,
+    /// Memory for the bodies of callers and endpoints.
+    pub(crate) buffers: BufferBudget,
     pub(crate) dialect: Arc<dyn GatewayDialect>,
     policy: RwLock<Option<Arc<TrafficPolicy>>>,
     /// Notified when a policy takes effect.
@@ -156,6 +159,7 @@
         let gateway = Arc::new(Self {
             rt: rt.clone(),
             shutdown: shutdown.clone(),
+            buffers: BufferBudget::of_process(cfg.memory_mb),
             dialect,
             policy: RwLock::new(None),
             policy_changed: Event::new(),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -38,6 +38,10 @@
     /// Retries allowed in addition, across all gateways.
     #[serde(default = "default_retry_slack")]
     pub retry_slack: f64,
+    /// Memory that the process may use, in megabytes (2^20 bytes); a quarter of it is for buffered
+    /// bodies.
+    #[serde(default = "default_memory")]
+    pub memory_mb: usize,
     /// Maximum length of an endpoint's response body in bytes, except for streams. A longer one
     /// counts as broken.
     #[serde(default = "default_response_bytes_max")]
@@ -81,6 +85,11 @@
     10.0
 }
 
+/// Of the smallest machine for a gateway.
+fn default_memory() -> usize {
+    260
+}
+
 /// 8 MiB: far above the responses of services, and a fiftieth of a gateway's memory.
 fn default_response_bytes_max() -> usize {
     8 * 1024 * 1024
@@ -138,6 +147,8 @@
     pub retry_span: Duration,
     /// Retries allowed in addition, across all gateways.
     pub retry_slack: f64,
+    /// Memory that the process may use, in megabytes (2^20 bytes).
+    pub memory_mb: usize,
     /// Maximum length of an endpoint's response body in bytes, except for streams.
     pub response_bytes_max: usize,
     /// Maximum length of one event of a stream in bytes.
@@ -190,6 +201,7 @@
         }
         for (key, n) in [
             ("threads", raw.threads),
+            ("memory_mb", raw.memory_mb),
             ("response_bytes_max", raw.response_bytes_max),
             ("event_bytes_max", raw.event_bytes_max),
         ] {
@@ -213,6 +225,7 @@
             retry_ratio: raw.retry_ratio,
             retry_span: Duration::from_secs_f64(raw.retry_span_s),
             retry_slack: raw.retry_slack,
+            memory_mb: raw.memory_mb,
             response_bytes_max: raw.response_bytes_max,
             event_bytes_max: raw.event_bytes_max,
             cold_factor: raw.cold_factor,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -1,6 +1,7 @@
 //! Streams of numbered events, which another endpoint can resume.
 
 use std::io;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -10,6 +11,7 @@
 use crocustally_core::dispatch::Refusal;
 use crocustally_core::dispatch::RequestOutcome;
 use crocustally_net::BodyFraming;
+use crocustally_net::BufferCharge;
 use crocustally_net::ResponseBody;
 use crocustally_net::full_body;
 use crocustally_net::sleep;
@@ -45,6 +47,8 @@
     slot: Slot,
     response: Box<EndpointResponse>,
     buf: EventBuffer,
+    /// Charge for `buf`.
+    charge: BufferCharge,
     /// When the last bytes arrived.
     last_received: Instant,
 }
@@ -128,7 +132,8 @@
             SendOutcome::Response(response) if response.head.status.is_success() => {
                 ex.executions += 1;
                 let (buf, last_received) = (buf.clone(), ex.now());
-                return Ok(UpstreamStream { slot, response, buf, last_received });
+                let charge = ex.gateway.buffers.charge();
+                return Ok(UpstreamStream { slot, response, buf, charge, last_received });
             }
             SendOutcome::Response(response) => {
                 ex.executions += 1;
@@ -213,6 +218,11 @@
             }
             Some(Some(Ok(frame))) => {
                 if let Ok(data) = frame.into_data() {
+                    let len = source.buf.incomplete_len() + data.len();
+                    if source.charge.resize(len).is_err() {
+                        ex.progress.answer_unbuffered.store(true, Ordering::Release);
+                        return broken_off(ex, source, &BodyError::NoMemory.to_string());
+                    }
                     source.buf.push(&data);
                 }
             }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -226,6 +226,8 @@
     Broken(hyper::Error),
     /// The body is longer than the gateway's limit.
     TooLong,
+    /// No memory is left to buffer the body.
+    NoMemory,
     /// The body was not complete at the deadline.
     TimedOut,
     /// The body ended with its connection, and the endpoint with it.
@@ -240,6 +242,7 @@
                 None => write!(f, "{e}"),
             },
             Self::TooLong => f.write_str("longer than the limit"),
+            Self::NoMemory => f.write_str("no memory left to buffer it"),
             Self::TimedOut => f.write_str("not complete at the deadline"),
             Self::EndpointEnded => f.write_str("the endpoint ended or is unreachable"),
         }
@@ -258,16 +261,21 @@
     response: &mut EndpointResponse,
 ) -> Result<Bytes, BodyError> {
     let limit = ex.gateway.cfg.response_bytes_max;
-    let read = timeout(ex.remaining(), collect_body(&mut response.body, limit)).await;
+    let collect = collect_body(&mut response.body, limit, &ex.gateway.buffers);
+    let read = timeout(ex.remaining(), collect).await;
     let mut body = match read {
         None => Err(BodyError::TimedOut),
         Some(Err(CollectError::TooLong)) => Err(BodyError::TooLong),
+        Some(Err(CollectError::NoMemory)) => Err(BodyError::NoMemory),
         Some(Err(CollectError::Broken(e))) => Err(BodyError::Broken(e)),
         Some(Ok(body)) => Ok(body),
     };
     if body.is_ok() && !response.is_complete(ex, slot).await {
         body = Err(BodyError::EndpointEnded);
     }
+    if matches!(body, Err(BodyError::NoMemory)) {
+        ex.progress.answer_unbuffered.store(true, Ordering::Release);
+    }
     if let Err(e) = &body {
         log_broken_response(ex, slot, response.framing, None, 0, &e.to_string());
     }
--- a/crates/net/src/collect_body.rs
+++ b/crates/net/src/collect_body.rs
@@ -5,13 +5,19 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use http_body_util::BodyExt;
+use hyper::body::Body;
 use hyper::body::Incoming;
 
+use crate::BufferBudget;
+use crate::buffer_budget::BufferCharge;
+
 /// Why a body was not read to its end.
 #[derive(Debug)]
 pub enum CollectError {
     /// It is longer than the limit.
     TooLong,
+    /// The process has no memory left for it.
+    NoMemory,
     /// Its connection broke, or its framing is invalid.
     Broken(hyper::Error),
 }
@@ -20,6 +26,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::TooLong => f.write_str("the body is longer than the limit"),
+            Self::NoMemory => f.write_str("no memory is left for the body"),
             Self::Broken(e) => write!(f, "the body broke off: {e}"),
         }
     }
@@ -27,20 +34,48 @@
 
 impl std::error::Error for CollectError {}
 
-/// Reads a body of at most `limit` bytes; trailers are dropped.
+/// A collected body and its charge, which lasts until the last reference is dropped.
+struct Collected {
+    body: BytesMut,
+    _charge: BufferCharge,
+}
+
+impl AsRef<[u8]> for Collected {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
+
+/// Reads a body of at most `limit` bytes; trailers are dropped. The bytes are charged to `budget` as
+/// they arrive, or at once if their number is known, until the returned buffer and all its clones are dropped.
 ///
 /// # Errors
 ///
-/// [`CollectError::TooLong`] once more bytes have arrived, [`CollectError::Broken`] if the body ends early.
-pub async fn collect_body(body: &mut Incoming, limit: usize) -> Result<Bytes, CollectError> {
+/// [`CollectError::TooLong`] once more bytes have arrived, [`CollectError::NoMemory`] once the budget
+/// has no room for them, [`CollectError::Broken`] if the body ends early.
+pub async fn collect_body(
+    body: &mut Incoming,
+    limit: usize,
+    budget: &BufferBudget,
+) -> Result<Bytes, CollectError> {
     // Copied, since each small chunk that is kept costs many times its length.
     let mut collected = BytesMut::new();
+    let known_len = body.size_hint().exact().and_then(|n| usize::try_from(n).ok());
+    if known_len.is_some_and(|n| n > limit) {
+        return Err(CollectError::TooLong);
+    }
+    let reserved = known_len.map_or(Ok(budget.charge()), |n| budget.reserve(n));
+    let mut charge = reserved.map_err(|_| CollectError::NoMemory)?;
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(CollectError::Broken)?.into_data() else { continue };
-        if collected.len() + data.len() > limit {
+        let len = collected.len() + data.len();
+        if len > limit {
             return Err(CollectError::TooLong);
         }
+        if known_len.is_none() {
+            charge.resize(len).map_err(|_| CollectError::NoMemory)?;
+        }
         collected.extend_from_slice(&data);
     }
-    Ok(collected.freeze())
+    Ok(Bytes::from_owner(Collected { body: collected, _charge: charge }))
 }
--- a/crates/net/src/http_client.rs
+++ b/crates/net/src/http_client.rs
@@ -26,6 +26,10 @@
 use crate::timeout;
 use crate::yielding_io::YieldingIo;
 
+/// Largest read buffer of a connection in bytes, and so the longest head of a response. A process with
+/// some thousand connections has to hold one for each.
+const READ_BUFFER_MAX: usize = 16 * 1024;
+
 /// Timeouts and socket options of a client's connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HttpClientSettings {
@@ -262,7 +266,8 @@
             Abandonment::OwnerReset => set_reset_on_close(&stream),
         }
         let io = FuturesIo::new(YieldingIo::new(stream));
-        let (mut tx, conn) = http1::handshake(io).await.map_err(|_| HttpError::Unreachable)?;
+        let handshake = http1::Builder::new().max_buf_size(READ_BUFFER_MAX).handshake(io);
+        let (mut tx, conn) = handshake.await.map_err(|_| HttpError::Unreachable)?;
         let io = self.rt.spawn_task(async move {
             // An error of the connection is reported by the request on it.
             let _ = conn.await;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod admin;
 mod body_framing;
+mod buffer_budget;
 mod channel;
 mod clock;
 mod coded_io;
@@ -35,6 +36,9 @@
 pub use admin::serve_admin;
 pub use async_signal::Signals;
 pub use body_framing::BodyFraming;
+pub use buffer_budget::BudgetUsedUp;
+pub use buffer_budget::BufferBudget;
+pub use buffer_budget::BufferCharge;
 pub use channel::Channel;
 pub use channel::ChannelError;
 pub use clock::Clock;
--- a/crates/rank/src/agent.rs
+++ b/crates/rank/src/agent.rs
@@ -13,6 +13,7 @@
 use crocustally_core::experts::CounterReader;
 use crocustally_core::experts::ExpertId;
 use crocustally_core::experts::SelectionCounts;
+use crocustally_net::BufferBudget;
 use crocustally_net::Channel;
 use crocustally_net::Clock;
 use crocustally_net::HttpClient;
@@ -65,6 +66,8 @@
 /// The agent of one engine.
 pub struct RankAgent {
     cfg: RankSettings,
+    /// Memory for the bodies of engines' responses.
+    buffers: BufferBudget,
     rt: Runtime,
     clock: Arc<dyn Clock>,
     dialect: Arc<dyn EngineDialect>,
@@ -102,7 +105,9 @@
     ) -> Arc<Self> {
         let search = Mutex::new(LeaderSearch::new(&cfg.controls));
         let clients = Mutex::new(HashMap::new());
-        let agent = Arc::new(Self { cfg, rt: rt.clone(), clock, dialect, search, clients });
+        let buffers = BufferBudget::of_process(cfg.memory_mb);
+        let agent =
+            Arc::new(Self { cfg, buffers, rt: rt.clone(), clock, dialect, search, clients });
         rt.spawn(agent.clone().run(shutdown));
         agent
     }
@@ -338,13 +343,14 @@
             .ok()?;
         let (response, conn) = client.send(req, false).await.ok()?;
         let status = response.status();
-        let body = match collect_body(&mut response.into_body(), ENGINE_BODY_MAX).await {
-            Ok(body) => body,
-            Err(e) => {
-                log::warn!(engine = address.to_string().as_str(), path = path; "{e}");
-                return None;
-            }
-        };
+        let body =
+            match collect_body(&mut response.into_body(), ENGINE_BODY_MAX, &self.buffers).await {
+                Ok(body) => body,
+                Err(e) => {
+                    log::warn!(engine = address.to_string().as_str(), path = path; "{e}");
+                    return None;
+                }
+            };
         client.put_idle(conn);
         Some((status, body))
     }
--- a/crates/rank/src/settings.rs
+++ b/crates/rank/src/settings.rs
@@ -22,6 +22,10 @@
     pub seeds: Vec<String>,
     /// Port on which control instances listen for the system's other processes.
     pub control_port: u16,
+    /// Memory that the process may use, in megabytes (2^20 bytes); a quarter of it is for buffered
+    /// bodies.
+    #[serde(default = "default_memory")]
+    pub memory_mb: usize,
     /// Number of executor threads.
     #[serde(default = "default_threads")]
     pub threads: usize,
@@ -33,6 +37,11 @@
     pub admin: Option<AdminSettings>,
 }
 
+/// Of the smallest machine for a rank agent.
+fn default_memory() -> usize {
+    128
+}
+
 fn default_threads() -> usize {
     1
 }
@@ -48,6 +57,8 @@
     pub engine: SocketAddr,
     /// Addresses of control instances.
     pub controls: Vec<SocketAddr>,
+    /// Memory that the process may use, in megabytes (2^20 bytes).
+    pub memory_mb: usize,
     /// Number of executor threads.
     pub threads: usize,
     /// Format of log lines.
@@ -65,6 +76,9 @@
                 return Err(SettingsError::invalid(key, "is empty"));
             }
         }
+        if raw.memory_mb == 0 {
+            return Err(SettingsError::invalid("memory_mb", "must be 1 or more"));
+        }
         if raw.threads == 0 {
             return Err(SettingsError::invalid("threads", "must be 1 or more"));
         }
@@ -79,6 +93,7 @@
         Ok(Self {
             engine: parse_address("engine", &raw.engine)?,
             controls,
+            memory_mb: raw.memory_mb,
             threads: raw.threads,
             log: raw.log,
             admin: raw.admin.map(|a| a.resolve()).transpose()?,
