Net: interim responses without end break the call

What callers saw: a faulty endpoint that sent 103 after 103 got 504 after the whole time, and took the gateway's thread meanwhile: sound requests waited for seconds or were refused.

Cause: the HTTP library skips interim responses inside its parser and reads on, without a bound; nothing passes to the caller of the client, so only the deadline ended it.

Why it works: the client counts interim responses of a request; after 16 its connection's next read fails, which ends the call as broken (502, may have run), with the io error in the log line.

--- a/crates/daemons/tests/endless_answers.rs
+++ b/crates/daemons/tests/endless_answers.rs
@@ -240,6 +240,12 @@
     async_io::block_on(check("chunks", 2, Answer::Chunks, "/once/x", MANY));
 }
 
+/// Guards against interim responses without end, which took the gateway's thread until the deadline.
+#[test]
+fn interim_responses_without_end_do_not_take_the_thread() {
+    async_io::block_on(check("interim", 5, Answer::Interim, "/once/x", MANY));
+}
+
 /// Guards against limits that hold for each answer but not for as many as connections allow.
 #[test]
 fn as_many_bodies_without_end_as_connections_fit_into_memory() {
--- a/crates/net/src/http_client.rs
+++ b/crates/net/src/http_client.rs
@@ -2,8 +2,12 @@
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -30,6 +34,9 @@
 /// some thousand connections has to hold one for each.
 const READ_BUFFER_MAX: usize = 16 * 1024;
 
+/// Interim responses (1xx) that may come before the response to one request; servers send one or two.
+const INTERIM_RESPONSES_MAX: u32 = 16;
+
 /// Timeouts and socket options of a client's connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HttpClientSettings {
@@ -97,6 +104,8 @@
     tx: SendRequest<Full<Bytes>>,
     /// Number of responses that have come over the connection.
     responses: u64,
+    /// Set once the server has sent too many interim responses; ends the connection.
+    broken: Arc<AtomicBool>,
     /// Drives the connection. It is cancelled on drop; a detached task would go on sending a
     /// cancelled request.
     _io: Task<()>,
@@ -113,6 +122,16 @@
         &mut self,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        let mut req = req;
+        let (left, broken) = (AtomicU32::new(INTERIM_RESPONSES_MAX), self.broken.clone());
+        hyper::ext::on_informational(&mut req, move |_| {
+            if left
+                .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |n| n.checked_sub(1))
+                .is_err()
+            {
+                broken.store(true, Ordering::Relaxed);
+            }
+        });
         let response = self.tx.try_send_request(req).await?;
         self.responses += 1;
         Ok(response)
@@ -265,7 +284,8 @@
             Abandonment::KernelTimeout(time) => set_ack_timeout(&stream, time),
             Abandonment::OwnerReset => set_reset_on_close(&stream),
         }
-        let io = FuturesIo::new(YieldingIo::new(stream));
+        let broken = Arc::new(AtomicBool::new(false));
+        let io = FuturesIo::new(YieldingIo::new(stream, broken.clone()));
         let handshake = http1::Builder::new().max_buf_size(READ_BUFFER_MAX).handshake(io);
         let (mut tx, conn) = handshake.await.map_err(|_| HttpError::Unreachable)?;
         let io = self.rt.spawn_task(async move {
@@ -273,6 +293,6 @@
             let _ = conn.await;
         });
         tx.ready().await.map_err(|_| HttpError::Unreachable)?;
-        Ok(HttpConnection { tx, responses: 0, _io: io })
+        Ok(HttpConnection { tx, responses: 0, broken, _io: io })
     }
 }
--- a/crates/net/src/yielding_io.rs
+++ b/crates/net/src/yielding_io.rs
@@ -2,6 +2,9 @@
 
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 
@@ -20,11 +23,13 @@
 pub(crate) struct YieldingIo<S> {
     inner: S,
     reads_in_a_row: u32,
+    /// Once set, reads fail.
+    broken: Arc<AtomicBool>,
 }
 
 impl<S> YieldingIo<S> {
-    pub(crate) fn new(inner: S) -> Self {
-        Self { inner, reads_in_a_row: 0 }
+    pub(crate) fn new(inner: S, broken: Arc<AtomicBool>) -> Self {
+        Self { inner, reads_in_a_row: 0, broken }
     }
 }
 
@@ -34,6 +39,10 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
+        if self.broken.load(Ordering::Relaxed) {
+            let e = io::Error::new(io::ErrorKind::InvalidData, "too many interim responses");
+            return Poll::Ready(Err(e));
+        }
         if self.reads_in_a_row >= READS_IN_A_ROW_MAX {
             self.reads_in_a_row = 0;
             cx.waker().wake_by_ref();
