Net: small bodies of known length fit when large ones have reserved the budget

Read in review: bodies that announce their length reserve all of the budget but a thirty-second; a sound small answer with a length would then have been broken off with 502 though it had run. It may use a share of the rest now, as bodies without a length do.

--- a/crates/net/src/buffer_budget.rs
+++ b/crates/net/src/buffer_budget.rs
@@ -18,7 +18,7 @@
 ///
 /// A buffer of unknown length may hold at most a share of what is free, so that however many of them
 /// grow without end, room for others remains. One that hits this bound is broken off by its owner and
-/// gives its bytes back. A buffer of known length may hold all but a small reserve.
+/// gives its bytes back. A buffer of known length may hold all but a small reserve, and a share of that.
 #[derive(Clone, Debug)]
 pub struct BufferBudget(Arc<Bytes>);
 
@@ -61,12 +61,14 @@
     ///
     /// # Errors
     ///
-    /// Fails if less than that and the reserve is free.
+    /// Fails if it would take up the reserve, and more than a share of what is free.
     pub fn reserve(&self, len: usize) -> Result<BufferCharge, BudgetUsedUp> {
         let Bytes { total, used } = &*self.0;
         let before = used.fetch_add(len, Ordering::Relaxed);
         let charge = BufferCharge { budget: self.clone(), held: len };
-        if before.saturating_add(len) > total - total / RESERVE_SHARE {
+        let reserved = total - total / RESERVE_SHARE;
+        let small = len <= total.saturating_sub(before) / UNKNOWN_LENGTH_SHARE;
+        if before.saturating_add(len) > reserved && !small {
             metrics::counter!("crocustally_buffers_refused").increment(1);
             return Err(BudgetUsedUp);
         }
