Raft: a leader is elected and stays while disks take 200 ms

What callers would see: with 150 ms or more for each write and each sync on all three instances no leader at all: every change and read is refused.

Cause: a candidate began again after 0.15 to 0.45 s, sooner than its own vote and those of the others were synced (four disk operations one after the other), so votes were always for a past term. Once elected, a leader sent its entries only after its own sync and got replies later than the quorum check of 0.9 s.

Fix: each candidacy that fails doubles the wait for the next, up to 8 times, until a leader is known. A leader's appends leave before its own sync if its term and the commit index in them are synced already; a reply is processed after the sync, so its own entries count only then.

Not shown: the models in raft and losses send after the sync, so a leader that loses power between an early append and its sync isn't played.

--- a/crates/core/src/raft/replica.rs
+++ b/crates/core/src/raft/replica.rs
@@ -31,6 +31,9 @@
 const ELECTION_RETRY_MIN: Duration = Duration::from_millis(150);
 /// Upper bound of the random part of that delay.
 const ELECTION_RETRY_JITTER: Duration = Duration::from_millis(300);
+/// Maximum number of times that the delay before a retry is doubled, once for each candidacy that
+/// failed.
+const CANDIDACY_DOUBLINGS_MAX: u32 = 3;
 /// A replica that received a message from a leader within this time ignores vote requests; slightly
 /// longer than two heartbeat intervals.
 const LEADER_LEASE: Duration = Duration::from_millis(700);
@@ -61,7 +64,7 @@
 }
 
 /// Pending work for the driver: sync the records, then send the messages, then apply the committed
-/// entries, in this order.
+/// entries, in this order. [`Ready::take_early_messages`] tells what may be sent before.
 #[derive(Clone, Debug, Default)]
 pub struct Ready {
     /// A snapshot from the leader that replaces state machine and log; it is written to disk first.
@@ -79,6 +82,32 @@
     pub votes_refused: Vec<ReplicaId>,
 }
 
+impl Ready {
+    /// Takes the messages that may be sent before the records are synced, so that the disks of a
+    /// leader and its followers work at the same time.
+    ///
+    /// These are a leader's appends, as long as its term and the entries that they state as committed
+    /// are synced already. A reply to them is processed after the sync, and counts the leader's own
+    /// entries only then.
+    pub fn take_early_messages(&mut self) -> Vec<(ReplicaId, Message)> {
+        let new_term = self.records.iter().any(|r| matches!(r, Record::HardState(_)));
+        if new_term || self.snapshot.is_some() {
+            return Vec::new();
+        }
+        let first_unsynced = self.records.iter().find_map(|r| match r {
+            Record::Entry(e) => Some(e.index),
+            _ => None,
+        });
+        let early = |m: &Message| match m.body {
+            Body::Append { commit, .. } => first_unsynced.is_none_or(|index| commit < index),
+            _ => false,
+        };
+        let (taken, rest) = self.messages.drain(..).partition(|(_, m)| early(m));
+        self.messages = rest;
+        taken
+    }
+}
+
 /// A Raft replica with pre-vote, check-quorum, learners and single-voter membership changes.
 ///
 /// It does no I/O: the driver passes in messages, proposals and the time, then carries out the work
@@ -96,6 +125,8 @@
     pub(super) leader: Option<ReplicaId>,
     pub(super) peers: HashMap<ReplicaId, Peer>,
     votes: Vec<ReplicaId>,
+    /// Number of own candidacies since this replica last had a leader.
+    candidacies: u32,
     pub(super) round: u64,
     pub(super) last_leader_contact: Option<Instant>,
     election_deadline: Instant,
@@ -133,6 +164,7 @@
             leader: None,
             peers: HashMap::new(),
             votes: Vec::new(),
+            candidacies: 0,
             round: 0,
             last_leader_contact: None,
             election_deadline: now,
@@ -371,6 +403,10 @@
             self.role = Role::PreCandidate;
         } else {
             self.role = Role::Candidate;
+            // Votes are synced before they are sent: on slow disks they need longer than a retry.
+            let doublings = self.candidacies.min(CANDIDACY_DOUBLINGS_MAX);
+            self.election_deadline = now + self.election_retry_delay() * (1 << doublings);
+            self.candidacies += 1;
             self.hard_state =
                 HardState { term: self.hard_state.term + 1, voted_for: Some(self.id) };
             self.pending.records.push(Record::HardState(self.hard_state));
@@ -442,6 +478,7 @@
     }
 
     fn become_leader(&mut self, now: Instant) {
+        self.candidacies = 0;
         self.role = Role::Leader;
         self.leader = Some(self.id);
         self.round = 0;
@@ -551,6 +588,7 @@
 
     pub(super) fn record_leader_contact(&mut self, now: Instant) {
         self.last_leader_contact = Some(now);
+        self.candidacies = 0;
         self.reset_election_timer(now);
     }
 }
--- a/crates/log/src/driver.rs
+++ b/crates/log/src/driver.rs
@@ -237,11 +237,13 @@
         }
     }
 
-    /// Writes the journal, sends messages and applies committed entries, in this order.
+    /// Writes the journal, sends messages and applies committed entries, in this order; messages that
+    /// need not wait for the journal are sent first.
     fn advance(&mut self) {
-        let ready = self.replica.ready();
+        let mut ready = self.replica.ready();
         self.log_elections(&ready);
         let changed = ready.snapshot.is_some() || !ready.committed.is_empty();
+        self.send(ready.take_early_messages());
         if let Err(e) = self.persist(&ready) {
             self.disk_failure(&e);
             return;
