--- a/crates/daemons/tests/core_losses.rs
+++ b/crates/daemons/tests/core_losses.rs
@@ -303,7 +303,7 @@
     let full = Loss::StartedWhileFull(Duration::from_secs(3));
     let losses = (0..CONTROLS).map(|i| (i, full)).collect();
     let rt = Runtime::start(2);
-    let played = async_io::block_on(play(&rt, 252, losses));
+    let played = async_io::block_on(play(&rt, 255, losses));
     assert!(played.is_ok(), "{}", played.unwrap_err());
 }
 
