--- a/crates/daemons/tests/cuts.rs
+++ b/crates/daemons/tests/cuts.rs
@@ -126,6 +126,18 @@
 }
 
 impl Run {
+    fn new(rt: &Runtime, d: Deployment, rng: ChaCha8Rng) -> Self {
+        Self {
+            rt: rt.clone(),
+            d,
+            rng,
+            version: 0,
+            acknowledged: 0,
+            served: [0; GATEWAYS],
+            breaches: Vec::new(),
+        }
+    }
+
     fn controls(&self) -> Vec<SocketAddr> {
         (0..CONTROLS).map(|c| self.d.control(c)).collect()
     }
@@ -360,15 +372,7 @@
     let folder = std::env::temp_dir().join(format!("cuts-{}-{number}", std::process::id()));
     let net = [(std::process::id() % 100 + 120) as u8, number];
     let d = Deployment::start_with_relays(rt, net, GATEWAYS, folder).await;
-    let mut run = Run {
-        rt: rt.clone(),
-        d,
-        rng,
-        version: 0,
-        acknowledged: 0,
-        served: [0; GATEWAYS],
-        breaches: Vec::new(),
-    };
+    let mut run = Run::new(rt, d, rng);
     let at = run.controls();
     let mut outcome = run.put(&at, RECOVERY_TIME).await;
     run.operate_for(CONTACT_TIME).await;
@@ -406,3 +410,26 @@
     }
     assert!(failed.is_empty(), "seeds that failed: {failed:?}");
 }
+
+/// Guards against a deployment that never takes a configuration, or late, since one of the instances that
+/// create the log was gone before it was created and its address is silent.
+#[test]
+fn log_is_created_although_the_address_of_one_instance_is_silent_at_the_first_start() {
+    let rt = Runtime::start(2);
+    for gone in 0..CONTROLS {
+        let folder = std::env::temp_dir().join(format!("silent-{}-{gone}", std::process::id()));
+        let net = [(std::process::id() % 100 + 120) as u8, 252 + gone as u8];
+        async_io::block_on(async {
+            let d = Deployment::start_with_relays(&rt, net, GATEWAYS, folder).await;
+            let mut run = Run::new(&rt, d, ChaCha8Rng::seed_from_u64(gone as u64));
+            run.d.replace_control_silently(&rt, gone).await;
+            sleep(Duration::from_secs(1)).await;
+            run.d.spawn(gone, false);
+            let at = run.controls();
+            let mut outcome = run.put(&at, RECOVERY_TIME).await;
+            run.operate_for(CATCH_UP).await;
+            outcome = outcome.and(run.check_calm().await);
+            assert_eq!((outcome, &run.breaches), (Ok(()), &Vec::new()), "without instance {gone}");
+        });
+    }
+}
