Log: reads of the policy write nothing

What callers would see: reads are refused while disks take no writes, and each read waits for the disks of a majority, behind all changes before it.

Cause: a read was an entry of the log.

The leader now answers it without one: it notes its commit index (its barrier, if that is not committed yet), begins a round of heartbeats after the read's arrival, and answers once a quorum of the voters has answered that round and the index is applied. A follower passes the read on to the leader as before. A leader that steps down drops its reads; the caller tries again or gets 503.

Found on the way by the model: a reply that refuses a leader of an earlier term had the term of the replier and the round of the request. If the sender led again, in just that term, the reply counted for a round that it had not begun yet: a stale read here, and before this change a contact that the quorum check counted wrongly. Such a reply names round 0 now.

Tests: cluster/mod.rs has reads; raft.rs sends one after each proposal. No check is changed.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -133,7 +133,8 @@
 
     /// Returns the applied policy document.
     ///
-    /// The read goes through the replicated log, so it is never older than an acknowledged write.
+    /// The leader answers once a quorum has confirmed that it still leads, so the read is never older
+    /// than an acknowledged write.
     async fn get_policy(&self) -> ControlResponse {
         let arrived = self.clock.now();
         let outcome = self.log.propose(Kind::ReadPolicy(true), COMMIT_TIMEOUT).await;
--- a/crates/core/src/control/state_machine.rs
+++ b/crates/core/src/control/state_machine.rs
@@ -26,6 +26,9 @@
 use super::Ticket;
 use crate::Code;
 
+/// Largest size in bytes of a command that only reads: a tag and a flag, with room for more fields.
+const READ_BYTES_MAX: usize = 16;
+
 /// The replicated state: configuration, claims, suspects, policy document and evacuated failure
 /// domains.
 ///
@@ -102,6 +105,19 @@
         Outcome { kind: Some(kind) }
     }
 
+    /// Outcome of a command that only reads, which needs no entry in the log; `None` for any other.
+    pub fn read(&self, command: &[u8]) -> Option<Outcome> {
+        if command.len() > READ_BYTES_MAX {
+            return None;
+        }
+        match Command::decode(command).ok()?.kind? {
+            Kind::ReadPolicy(_) => {
+                Some(Outcome { kind: Some(OutcomeKind::Policy(self.policy.clone())) })
+            }
+            _ => None,
+        }
+    }
+
     /// The current configuration.
     pub fn config(&self) -> &Arc<Config> {
         &self.config
--- a/crates/core/src/raft/peer.rs
+++ b/crates/core/src/raft/peer.rs
@@ -31,6 +31,8 @@
     /// Number and sending time of each round without a reply.
     unanswered_rounds: VecDeque<(u64, Instant)>,
     snapshot_sent: Option<Instant>,
+    /// Newest round that the member replied to.
+    round_answered: u64,
 }
 
 impl Replica {
@@ -46,10 +48,16 @@
                 last_contact: Some(now),
                 unanswered_rounds: VecDeque::new(),
                 snapshot_sent: None,
+                round_answered: 0,
             });
         }
     }
 
+    /// Newest round that a member replied to; 0 if there is none.
+    pub(super) fn round_answered_by(&self, id: ReplicaId) -> u64 {
+        self.peers.get(&id).map_or(0, |p| p.round_answered)
+    }
+
     /// Starts a new round: sends each member its missing entries, or a heartbeat.
     pub(super) fn broadcast(&mut self, now: Instant) {
         self.next_heartbeat = now + HEARTBEAT_INTERVAL;
@@ -102,6 +110,7 @@
     ) {
         let last = self.log.last_index();
         let Some(peer) = self.peers.get_mut(&from) else { return };
+        peer.round_answered = peer.round_answered.max(round);
         while let Some(&(r, at)) = peer.unanswered_rounds.front() {
             if r > round {
                 break;
@@ -136,15 +145,10 @@
 
     /// Accepts `from` as the leader of the current term; returns `false` and rejects the request if
     /// `term` is outdated.
-    pub(super) fn accept_leader(
-        &mut self,
-        now: Instant,
-        from: ReplicaId,
-        term: u64,
-        round: u64,
-    ) -> bool {
+    pub(super) fn accept_leader(&mut self, now: Instant, from: ReplicaId, term: u64) -> bool {
         if term < self.hard_state.term {
-            let body = Body::AppendReply { accepted: false, match_index: 0, round };
+            // The round is one of an earlier term, in which the sender may have led as well.
+            let body = Body::AppendReply { accepted: false, match_index: 0, round: 0 };
             self.pending.messages.push((from, Message { term: self.hard_state.term, body }));
             return false;
         }
--- a/crates/core/src/raft/replica.rs
+++ b/crates/core/src/raft/replica.rs
@@ -90,13 +90,15 @@
     pub(super) role: Role,
     pub(super) log: Log,
     pub(super) commit_index: u64,
-    last_applied: u64,
+    pub(super) last_applied: u64,
     pub(super) members: Members,
     pub(super) members_index: u64,
     pub(super) leader: Option<ReplicaId>,
     pub(super) peers: HashMap<ReplicaId, Peer>,
     votes: Vec<ReplicaId>,
     pub(super) round: u64,
+    /// The newest round whose messages `ready` has returned.
+    pub(super) round_sent: u64,
     pub(super) last_leader_contact: Option<Instant>,
     election_deadline: Instant,
     pub(super) next_heartbeat: Instant,
@@ -134,6 +136,7 @@
             peers: HashMap::new(),
             votes: Vec::new(),
             round: 0,
+            round_sent: 0,
             last_leader_contact: None,
             election_deadline: now,
             next_heartbeat: now,
@@ -195,12 +198,12 @@
                 self.handle_vote_reply(now, from, m.term, granted, pre)
             }
             Body::Append { prev_index, prev_term, commit, round, entries } => {
-                if self.accept_leader(now, from, m.term, round) {
+                if self.accept_leader(now, from, m.term) {
                     self.handle_append(from, (prev_index, prev_term), commit, round, entries);
                 }
             }
             Body::Snapshot { snapshot, round } => {
-                if self.accept_leader(now, from, m.term, round) {
+                if self.accept_leader(now, from, m.term) {
                     self.handle_snapshot(from, snapshot, round);
                 }
             }
@@ -243,6 +246,7 @@
     /// Takes the pending work for the driver, including the entries committed since the last call.
     pub fn ready(&mut self) -> Ready {
         let mut ready = std::mem::take(&mut self.pending);
+        self.round_sent = self.round;
         while self.last_applied < self.commit_index {
             let Some(e) = self.log.get(self.last_applied + 1) else { break };
             ready.committed.push(e.clone());
@@ -445,6 +449,7 @@
         self.role = Role::Leader;
         self.leader = Some(self.id);
         self.round = 0;
+        self.round_sent = 0;
         self.track_peers(now);
         if self.log.last_index() == 0 {
             let payload = Payload::Members(self.members.clone());
--- a/crates/core/src/raft/types.rs
+++ b/crates/core/src/raft/types.rs
@@ -81,6 +81,28 @@
     pub state: Bytes,
 }
 
+/// A read that a leader has accepted, and what it waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Read {
+    /// Term in which the leader accepted it.
+    pub(super) term: u64,
+    /// Index that must be applied before the read is answered.
+    pub(super) index: u64,
+    /// Round, begun after the read arrived, that a quorum must have answered.
+    pub(super) round: u64,
+}
+
+/// What has become of a [`Read`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadState {
+    /// Leadership is not yet confirmed, or the index is not yet applied.
+    Waiting,
+    /// The state machine, with all committed entries that `ready` has returned, answers it.
+    Ready,
+    /// The replica does not lead any more, so it cannot tell what is newest.
+    Lost,
+}
+
 /// Persistent state that must be on disk before a message that depends on it is sent.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct HardState {
@@ -138,7 +160,7 @@
         accepted: bool,
         /// Last matching index or, if rejected, a hint for the index after which to retry.
         match_index: u64,
-        /// Round of the request.
+        /// Round of the request; 0 if its term was outdated.
         round: u64,
     },
     /// A snapshot for a replica whose next entry is no longer in the leader's log.
--- a/crates/core/tests/cluster/mod.rs
+++ b/crates/core/tests/cluster/mod.rs
@@ -15,6 +15,8 @@
 use crocustally_core::raft::Members;
 use crocustally_core::raft::Message;
 use crocustally_core::raft::Payload;
+use crocustally_core::raft::Read;
+use crocustally_core::raft::ReadState;
 use crocustally_core::raft::Record;
 use crocustally_core::raft::RepairSettings;
 use crocustally_core::raft::Replica;
@@ -22,6 +24,9 @@
 use crocustally_core::raft::Role;
 use crocustally_core::raft::Snapshot;
 use crocustally_core::raft::plan_repair;
+use crocustally_wire::Command;
+use crocustally_wire::command::Kind;
+use prost::Message as _;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -105,6 +110,10 @@
     /// Commands that the instance they were proposed to has reported as committed.
     pub acknowledged: Vec<Bytes>,
     pending_proposals: Vec<(usize, u64, u64, Bytes)>,
+    /// Number of reads that were answered.
+    pub reads_answered: usize,
+    /// Instance of each unanswered read, and the newest policy acknowledged before it was sent.
+    pending_reads: Vec<(usize, Read, u64)>,
 }
 
 impl Cluster {
@@ -157,6 +166,8 @@
             committed: BTreeMap::new(),
             acknowledged: Vec::new(),
             pending_proposals: Vec::new(),
+            reads_answered: 0,
+            pending_reads: Vec::new(),
         };
         for _ in 0..instances {
             let i = c.add_instance();
@@ -214,6 +225,7 @@
     pub fn kill(&mut self, i: usize) {
         self.nodes[i].running = None;
         self.pending_proposals.retain(|p| p.0 != i);
+        self.pending_reads.retain(|p| p.0 != i);
     }
 
     /// Kills an instance and replaces its disk by an empty one with a new replica identity.
@@ -275,6 +287,34 @@
         true
     }
 
+    /// Sends a read of the policy to an instance; its answer must be as new as any policy acknowledged
+    /// before.
+    pub fn read(&mut self, i: usize) {
+        let newest = self.acknowledged.iter().map(policy_version).max().unwrap_or(0);
+        let now = self.now;
+        let Some((r, _)) = self.nodes[i].running.as_mut() else { return };
+        let Ok(read) = r.read(now) else { return };
+        self.pending_reads.push((i, read, newest));
+        self.process_ready(i);
+    }
+
+    fn answer_reads(&mut self, i: usize) {
+        let Some((r, machine)) = self.nodes[i].running.as_ref() else { return };
+        let answered = &mut self.reads_answered;
+        self.pending_reads.retain(|(at, read, newest)| {
+            if *at != i {
+                return true;
+            }
+            let state = r.read_state(read);
+            if state == ReadState::Ready {
+                let version = machine.policy().version;
+                assert!(version >= *newest, "read {version}, but {newest} was acknowledged");
+                *answered += 1;
+            }
+            state == ReadState::Waiting
+        });
+    }
+
     /// Runs the simulation for `duration`.
     pub fn run(&mut self, duration: Duration) {
         let deadline = self.now + duration;
@@ -369,6 +409,7 @@
             self.send(from, to, m);
         }
         self.acknowledge(i);
+        self.answer_reads(i);
         self.compact(i);
     }
 
@@ -474,6 +515,14 @@
     }
 }
 
+/// Version of the policy that a command holds; 0 for other commands.
+fn policy_version(command: &Bytes) -> u64 {
+    match Command::decode(&command[..]).ok().and_then(|c| c.kind) {
+        Some(Kind::Policy(p)) => p.version,
+        _ => 0,
+    }
+}
+
 fn restore_machine(s: &Snapshot) -> StateMachine {
     if s.state.is_empty() {
         StateMachine::default()
--- a/crates/core/tests/raft.rs
+++ b/crates/core/tests/raft.rs
@@ -81,6 +81,7 @@
                 _ => ticket(c.rng.random_range(1..=number), &format!("d{number}")),
             };
             c.propose(at, command);
+            c.read(at);
         }
         let ms = c.rng.random_range(50..600);
         c.run(Duration::from_millis(ms));
--- a/crates/daemons/tests/core_losses.rs
+++ b/crates/daemons/tests/core_losses.rs
@@ -322,3 +322,64 @@
     }
     assert!(failed.is_empty(), "seeds that failed: {failed:?}");
 }
+
+/// Guards against reads that wait for disks, and are refused beside slow or full ones.
+#[test]
+fn configuration_is_read_while_no_disk_takes_a_byte() {
+    let rt = Runtime::start(2);
+    let folder = std::env::temp_dir().join(format!("core-reads-{}", std::process::id()));
+    let net = [(std::process::id() % 100 + 120) as u8, 255];
+    async_io::block_on(async {
+        let d = Deployment::start(&rt, net, 0, 0, folder).await;
+        let (clients, failures) = Default::default();
+        let mut op = Operator { rt, clients, version: 0, acknowledged: 0, failures };
+        let at: Vec<SocketAddr> = (0..CONTROLS).map(|c| d.control(c)).collect();
+        let mut taken = op.put(&at, RECOVERY_TIME).await;
+        sleep(CATCH_UP).await;
+        (0..CONTROLS).for_each(|i| d.set_disk_full(i, true));
+        for from in at.iter().cycle().take(3 * CONTROLS) {
+            taken = taken.and(op.read(*from, ACK_TIME).await);
+        }
+        (0..CONTROLS).for_each(|i| d.set_disk_full(i, false));
+        taken = taken.and(op.put(&at, RECOVERY_TIME).await);
+        assert_eq!(taken, Ok(()), "{:?}", op.failures);
+    });
+}
+
+/// Guards against reads that are refused while operators change the configuration without a pause.
+#[test]
+fn configuration_is_read_beside_changes_that_never_rest() {
+    let rt = Runtime::start(2);
+    let folder = std::env::temp_dir().join(format!("core-changes-{}", std::process::id()));
+    let net = [(std::process::id() % 100 + 20) as u8, 255];
+    async_io::block_on(async {
+        let d = Deployment::start(&rt, net, 0, 0, folder).await;
+        let operator = || {
+            let (clients, failures) = Default::default();
+            Operator { rt: rt.clone(), clients, version: 0, acknowledged: 0, failures }
+        };
+        let (mut changing, mut reading) = (operator(), operator());
+        let at: Vec<SocketAddr> = (0..CONTROLS).map(|c| d.control(c)).collect();
+        assert_eq!(changing.put(&at, RECOVERY_TIME).await, Ok(()));
+        let changes = async {
+            loop {
+                let _ = changing.put(&at, ACK_TIME).await;
+            }
+        };
+        let reads = async {
+            let mut times = Vec::new();
+            for from in at.iter().cycle().take(100 * CONTROLS) {
+                let sent_at = Instant::now();
+                let read = reading.call(*from, "/config/get", String::new()).await;
+                times.push(sent_at.elapsed());
+                assert!(read.is_ok(), "{read:?}");
+            }
+            times
+        };
+        let mut times = future::or(reads, changes).await;
+        times.sort();
+        let (median, last) = (times[times.len() / 2], times[times.len() - 1]);
+        println!("{} changes, reads: median {median:?}, longest {last:?}", changing.version);
+        assert!(changing.version > 1, "nothing was changed beside the reads");
+    });
+}
--- a/crates/log/src/driver.rs
+++ b/crates/log/src/driver.rs
@@ -16,6 +16,8 @@
 use crocustally_core::raft::Message;
 use crocustally_core::raft::Payload;
 use crocustally_core::raft::ProposeError;
+use crocustally_core::raft::Read;
+use crocustally_core::raft::ReadState;
 use crocustally_core::raft::Ready;
 use crocustally_core::raft::Record;
 use crocustally_core::raft::RepairSettings;
@@ -113,6 +115,8 @@
     may_vote: Vec<String>,
     /// Term and reply channel of each uncommitted proposal, by log index.
     pending_proposals: BTreeMap<u64, (u64, Sender<Outcome>)>,
+    /// Reads that wait for the confirmation of leadership, with their commands and reply channels.
+    pending_reads: Vec<(Read, Bytes, Sender<Outcome>)>,
     contacts: Contacts,
     leader_since: Option<Instant>,
     /// Whether the local state may be acted on. The state recovered from a disk has been in use
@@ -162,6 +166,7 @@
             repair,
             may_vote,
             pending_proposals: BTreeMap::new(),
+            pending_reads: Vec::new(),
             contacts: Contacts::default(),
             leader_since: None,
             leaderless_since: None,
@@ -201,6 +206,7 @@
     fn publish_stopped(&mut self) {
         self.replica.step_down(self.clock.now());
         self.pending_proposals.clear();
+        self.pending_reads.clear();
         self.last_role = (Role::Follower, None);
         self.publish();
     }
@@ -229,6 +235,12 @@
     }
 
     fn propose(&mut self, now: Instant, command: Bytes, reply: Sender<Outcome>) {
+        if self.state_machine.read(&command).is_some() {
+            if let Ok(read) = self.replica.read(now) {
+                self.pending_reads.push((read, command, reply));
+            }
+            return;
+        }
         match self.replica.propose(now, command) {
             Ok(index) => {
                 self.pending_proposals.insert(index, (self.replica.term(), reply));
@@ -264,9 +276,25 @@
         for (reply, outcome) in outcomes {
             let _ = reply.try_send(outcome);
         }
+        self.answer_reads();
         self.compact();
     }
 
+    /// Answers the confirmed reads; drops those that this replica can no longer answer or that
+    /// nobody waits for.
+    fn answer_reads(&mut self) {
+        let (replica, machine) = (&self.replica, &self.state_machine);
+        self.pending_reads.retain(|(read, command, reply)| match replica.read_state(read) {
+            ReadState::Waiting => !reply.is_closed(),
+            ReadState::Ready => {
+                let outcome = machine.read(command);
+                outcome.into_iter().for_each(|o| drop(reply.try_send(o)));
+                false
+            }
+            ReadState::Lost => false,
+        });
+    }
+
     fn disk_failure(&mut self, e: &crocustally_net::JournalError) {
         let file = e.file.display().to_string();
         log::error!(code = e.code.number(), file = file.as_str(); "{}", e.code.text());
