--- a/crates/core/src/raft/replica.rs
+++ b/crates/core/src/raft/replica.rs
@@ -119,7 +119,7 @@
     pub(super) role: Role,
     pub(super) log: Log,
     pub(super) commit_index: u64,
-    last_applied: u64,
+    pub(super) last_applied: u64,
     pub(super) members: Members,
     pub(super) members_index: u64,
     pub(super) leader: Option<ReplicaId>,
@@ -128,6 +128,8 @@
     /// Number of own candidacies since this replica last had a leader.
     candidacies: u32,
     pub(super) round: u64,
+    /// The newest round whose messages `ready` has returned.
+    pub(super) round_sent: u64,
     pub(super) last_leader_contact: Option<Instant>,
     election_deadline: Instant,
     pub(super) next_heartbeat: Instant,
@@ -166,6 +168,7 @@
             votes: Vec::new(),
             candidacies: 0,
             round: 0,
+            round_sent: 0,
             last_leader_contact: None,
             election_deadline: now,
             next_heartbeat: now,
@@ -227,12 +230,12 @@
                 self.handle_vote_reply(now, from, m.term, granted, pre)
             }
             Body::Append { prev_index, prev_term, commit, round, entries } => {
-                if self.accept_leader(now, from, m.term, round) {
+                if self.accept_leader(now, from, m.term) {
                     self.handle_append(from, (prev_index, prev_term), commit, round, entries);
                 }
             }
             Body::Snapshot { snapshot, round } => {
-                if self.accept_leader(now, from, m.term, round) {
+                if self.accept_leader(now, from, m.term) {
                     self.handle_snapshot(from, snapshot, round);
                 }
             }
@@ -275,6 +278,7 @@
     /// Takes the pending work for the driver, including the entries committed since the last call.
     pub fn ready(&mut self) -> Ready {
         let mut ready = std::mem::take(&mut self.pending);
+        self.round_sent = self.round;
         while self.last_applied < self.commit_index {
             let Some(e) = self.log.get(self.last_applied + 1) else { break };
             ready.committed.push(e.clone());
@@ -482,6 +486,7 @@
         self.role = Role::Leader;
         self.leader = Some(self.id);
         self.round = 0;
+        self.round_sent = 0;
         self.track_peers(now);
         if self.log.last_index() == 0 {
             let payload = Payload::Members(self.members.clone());
