Net: the reserve of the memory budget is for small bodies of known length

Bodies of unknown length, each with a share of what was free, used up the reserve that known lengths must leave. They keep off it now, and a small known length may use a share of it.

--- a/crates/net/src/buffer_budget.rs
+++ b/crates/net/src/buffer_budget.rs
@@ -11,7 +11,7 @@
 
 /// Part of the free bytes that a buffer of unknown length may hold: one in this many.
 const UNKNOWN_LENGTH_SHARE: usize = 8;
-/// Part of the budget that buffers of known length leave free: one in this many.
+/// Part of the budget that is kept for small buffers of known length: one in this many.
 const RESERVE_SHARE: usize = 32;
 
 /// The memory for buffered bodies, shared by all that buffer one.
@@ -28,6 +28,13 @@
     used: AtomicUsize,
 }
 
+impl Bytes {
+    /// Bytes of the budget without the reserve, which only small bodies of known length may use.
+    fn unreserved(&self) -> usize {
+        self.total - self.total / RESERVE_SHARE
+    }
+}
+
 /// Error: the budget has no room for more bytes of this buffer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BudgetUsedUp;
@@ -63,12 +70,10 @@
     ///
     /// Fails if it would take up the reserve, and more than a share of what is free.
     pub fn reserve(&self, len: usize) -> Result<BufferCharge, BudgetUsedUp> {
-        let Bytes { total, used } = &*self.0;
-        let before = used.fetch_add(len, Ordering::Relaxed);
+        let before = self.0.used.fetch_add(len, Ordering::Relaxed);
         let charge = BufferCharge { budget: self.clone(), held: len };
-        let reserved = total - total / RESERVE_SHARE;
-        let small = len <= total.saturating_sub(before) / UNKNOWN_LENGTH_SHARE;
-        if before.saturating_add(len) > reserved && !small {
+        let small = len <= self.0.total.saturating_sub(before) / UNKNOWN_LENGTH_SHARE;
+        if before.saturating_add(len) > self.0.unreserved() && !small {
             metrics::counter!("crocustally_buffers_refused").increment(1);
             return Err(BudgetUsedUp);
         }
@@ -96,7 +101,7 @@
         } else {
             let more = len - self.held;
             let before = used.fetch_add(more, Ordering::Relaxed);
-            let free = self.budget.0.total.saturating_sub(before + more);
+            let free = self.budget.0.unreserved().saturating_sub(before + more);
             if len > free / UNKNOWN_LENGTH_SHARE {
                 used.fetch_sub(more, Ordering::Relaxed);
                 metrics::counter!("crocustally_buffers_refused").increment(1);
