Gateway: events are charged with what their buffers hold; two races of the policy

Memory: the buffer of an event grows by doubling, and only its length was charged.

Both are under a lock now.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -206,8 +206,10 @@
     pub(crate) fn subscribe(&self, name: String) -> Receiver<Update> {
         let (tx, rx) = async_channel::bounded(UPDATES_QUEUED_MAX);
         let controls = self.log.addresses().iter().map(ToString::to_string).collect();
+        // Under the lock, so that a later state is broadcast to this subscriber too.
+        let mut soft_state = self.soft_state();
         let initial = Update { controls, ..replicated_part(&self.state_machine()) };
-        self.soft_state().subscribe(self.clock.now(), &name, tx, initial);
+        soft_state.subscribe(self.clock.now(), &name, tx, initial);
         rx
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -127,6 +127,8 @@
     pub(crate) buffers: BufferBudget,
     pub(crate) dialect: Arc<dyn GatewayDialect>,
     policy: RwLock<Option<Arc<TrafficPolicy>>>,
+    /// Held while the pools' settings are updated.
+    configuring: Mutex<()>,
     /// Notified when a policy takes effect.
     policy_changed: Event,
     /// Notified when a control instance announces a newer policy version.
@@ -163,6 +165,7 @@
             buffers: BufferBudget::of_process(cfg.memory_mb),
             dialect,
             policy: RwLock::new(None),
+            configuring: Mutex::new(()),
             policy_changed: Event::new(),
             policy_announced: Event::new(),
             started_at: clock.now(),
@@ -310,6 +313,8 @@
 
     /// Updates the settings of all pools from the policy and the number of gateways.
     pub(crate) fn configure_pools(&self) {
+        // One at a time, so that the newest policy is the last to be applied.
+        let _configuring = self.configuring.lock().unwrap_or_else(PoisonError::into_inner);
         let Some(policy) = self.policy() else { return };
         for service in policy.services() {
             let cfg = self.pool_settings(&policy, service);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -218,8 +218,9 @@
             }
             Some(Some(Ok(frame))) => {
                 if let Ok(data) = frame.into_data() {
-                    let len = source.buf.incomplete_len() + data.len();
-                    if source.charge.resize(len).is_err() {
+                    // The buffer grows by doubling.
+                    let bytes = 2 * (source.buf.incomplete_len() + data.len());
+                    if source.charge.resize(bytes).is_err() {
                         ex.progress.answer_unbuffered.store(true, Ordering::Release);
                         return broken_off(ex, source, &BodyError::NoMemory.to_string());
                     }
