--- a/crates/net/tests/buffer_budget.rs
+++ b/crates/net/tests/buffer_budget.rs
@@ -29,7 +29,9 @@
         let budget = BufferBudget::of_process(MEMORY_MB);
         let mut charges: Vec<_> = (0..n).map(|_| budget.charge(length)).collect();
         for len in (0..=RESPONSE_BYTES_MAX).step_by(16 * KIB) {
-            charges.iter_mut().for_each(|c| drop(c.resize(len)));
+            for charge in &mut charges {
+                let _ = charge.resize(len);
+            }
         }
         let mut small = budget.charge(Length::Known);
         small.resize(48 * KIB).unwrap();
