--- a/crates/daemons/tests/core_losses.rs
+++ b/crates/daemons/tests/core_losses.rs
@@ -347,7 +347,7 @@
 fn configuration_is_read_while_no_disk_takes_a_byte() {
     let rt = Runtime::start(2);
     let folder = std::env::temp_dir().join(format!("core-reads-{}", std::process::id()));
-    let net = [(std::process::id() % 100 + 120) as u8, 255];
+    let net = [(std::process::id() % 100 + 20) as u8, 254];
     async_io::block_on(async {
         let d = Deployment::start(&rt, net, 0, 0, folder).await;
         let (clients, failures) = Default::default();
