Core: admission by urgency with late requests behind those on time

Cause: a priority ordered only the queue of one gateway, requests that missed their objective were refused, and a caller that returned into an outage waited 0.12 s although the pool had granted it the rest of the outage. Change: classes by urgency and lateness, each with a share of the fleet's places that more urgent requests leave it; a workspace's own priority goes before its route's; late requests wait until their caller would give up; a queued request waits as long as the pool decides.

--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 //! [`Pool::record_event_gap`] and [`Pool::complete`] feed its progress back. The module does no I/O
 //! and reads no clock: every call takes the current time.
 
+mod admission;
 mod crash_tracker;
 mod ewma;
 mod gateway_set;
@@ -14,7 +15,12 @@
 mod queue;
 mod sliding_window;
 mod water_filling;
+mod workspace_shares;
 
+pub use admission::Admission;
+pub use admission::AdmissionClass;
+pub use admission::AdmissionLimit;
+pub use admission::AdmissionSettings;
 pub use crash_tracker::CRASHES_BEFORE_QUARANTINE;
 pub use crash_tracker::CrashTracker;
 pub use ewma::Ewma;
@@ -36,3 +42,4 @@
 pub use queue::Ticket;
 pub use sliding_window::SlidingWindow;
 pub use water_filling::draw_water_filling;
+pub use workspace_shares::WorkspaceShares;
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -13,6 +13,10 @@
 use rand_chacha::ChaCha8Rng;
 use smallvec::SmallVec;
 
+use super::Admission;
+use super::AdmissionClass;
+use super::AdmissionLimit;
+use super::AdmissionSettings;
 use super::Ewma;
 use super::GatewaySet;
 use super::Limiter;
@@ -23,6 +27,8 @@
 use super::RequestOutcome;
 use super::SlidingWindow;
 use super::Ticket;
+use super::queue::Demotion;
+use super::queue::QueuePlace;
 use super::queue::WaitQueue;
 use super::queue::Waiter;
 use crate::Code;
@@ -37,6 +43,9 @@
     pub domain: String,
     /// Limiter of streams in flight; `None` for a service without model engines.
     pub limiter: Option<LimiterSettings>,
+    /// Admission by urgency, in which late requests wait behind those on time; `None` for a service whose
+    /// requests are all equally urgent.
+    pub admission: Option<AdmissionSettings>,
     /// Retry budget: retries allowed per first attempt.
     pub retry_ratio: f64,
     /// Window over which first attempts and retries are counted.
@@ -58,6 +67,7 @@
         Self {
             domain: String::new(),
             limiter: None,
+            admission: None,
             retry_ratio: 0.2,
             retry_span: Duration::from_secs(10),
             retry_slack: 80.0,
@@ -72,12 +82,22 @@
 /// A request to be assigned to an endpoint.
 #[derive(Clone, Debug)]
 pub struct DispatchRequest {
-    /// Lower values are served first.
-    pub priority: u8,
+    /// Urgency; lower values are served first.
+    pub urgency: u8,
+    /// Whether the caller has sent the request before and was refused. With admission by urgency, only
+    /// the time that has passed since counts.
+    pub is_caller_retry: bool,
+    /// Workspace of the caller, as a number that is equal at all gateways; 0 without one.
+    pub workspace: u64,
     /// Length of the prompt in tokens; 0 for services without model engines.
     pub prompt_tokens: u32,
     /// Latest time at which the request may be sent; after that it is refused.
     pub queue_deadline: Instant,
+    /// With admission by urgency, the latest time at which a late request may be sent: after it, the
+    /// caller would give up before the first event or the response would miss its deadline.
+    pub late_deadline: Instant,
+    /// Longest time after which a refused caller comes back; callers honour no later time.
+    pub return_time_max: Duration,
     /// Latest time at which the request may be sent if no endpoint accepts work. Such outages are
     /// usually short, so waiting may be worthwhile.
     pub outage_deadline: Instant,
@@ -112,8 +132,8 @@
 pub enum DispatchDecision {
     /// Send the request to this member; its slot is already reserved.
     Send(MemberKey),
-    /// The request is queued; a [`QueueOutcome`] with this ticket follows.
-    Wait(Ticket),
+    /// The request is queued until this time at the latest; a [`QueueOutcome`] with this ticket follows.
+    Wait(Ticket, Instant),
     /// The request is refused.
     Refuse(Refusal),
 }
@@ -151,6 +171,7 @@
     next_key: u32,
     evacuated: BTreeSet<String>,
     limiter: Option<Limiter>,
+    admission: Option<Admission>,
     in_flight: u32,
     queue: WaitQueue,
     hold_ms: Ewma,
@@ -172,6 +193,7 @@
     pub fn new(cfg: PoolSettings) -> Self {
         Self {
             limiter: cfg.limiter.map(Limiter::new),
+            admission: cfg.admission.clone().map(Admission::new),
             first_attempts: SlidingWindow::new(cfg.retry_span),
             retries: SlidingWindow::new(cfg.retry_span),
             rng: ChaCha8Rng::seed_from_u64(cfg.seed),
@@ -194,12 +216,18 @@
     // ------------------------------------------------------------------------------------------
     // Endpoint state
 
-    /// Replaces the settings; requests in flight and queued requests are kept.
-    pub fn configure(&mut self, cfg: PoolSettings) {
+    /// Replaces the settings; requests in flight and queued requests are kept. Returns whether the admission
+    /// by urgency has changed.
+    pub fn configure(&mut self, cfg: PoolSettings) -> bool {
         if self.cfg.limiter != cfg.limiter {
             self.limiter = cfg.limiter.map(Limiter::new);
         }
+        let admission_changed = self.cfg.admission != cfg.admission;
+        if admission_changed {
+            self.admission = cfg.admission.clone().map(Admission::new);
+        }
         self.cfg = cfg;
+        admission_changed
     }
 
     /// Stores an endpoint's newest heartbeat. A new incarnation becomes a new member.
@@ -308,6 +336,11 @@
         self.members.iter().map(|(k, m)| (*k, m))
     }
 
+    /// Whether late requests wait behind those on time, and the most urgent are admitted first.
+    pub fn admits_by_urgency(&self) -> bool {
+        self.admission.is_some()
+    }
+
     /// Requests of this gateway in flight.
     pub fn in_flight(&self) -> u32 {
         self.in_flight
@@ -339,41 +372,134 @@
             EarlierSends::Arrived if self.may_retry(now) => {}
             EarlierSends::Arrived => return self.refuse(Code::RetryBudgetSpent, RETRY_AFTER_MIN),
         }
-        let none_ahead = self.queue.ahead(req.priority) == 0;
-        if none_ahead && let Some(key) = self.choose_member(now, req.prompt_tokens, &req.tried) {
+        let mut place = self.queue_place(now, req);
+        if let (Some(admission), Some(class)) = (&mut self.admission, place.class) {
+            admission.record_arrival(now, class);
+        }
+        let none_ahead = self.queue.ahead(place.priority) == 0;
+        if none_ahead && let Some(key) = self.choose_for(now, &place, req.prompt_tokens, &req.tried)
+        {
             self.assign(now, key, req.prompt_tokens, req.earlier);
+            self.record_admission(now, place.class, req.workspace, true);
             return DispatchDecision::Send(key);
         }
         if let Some(refusal) = self.pushback(now) {
             return DispatchDecision::Refuse(refusal);
         }
         if !self.any_available(now, &req.tried) {
-            let outage_start = *self.outage_since.get_or_insert(now);
-            let outage_end = outage_start + OUTAGE_EXPECTED;
-            if now >= outage_end || req.outage_deadline < outage_end {
-                return self.refuse(Code::NoEndpoint, RETRY_AFTER_OUTAGE);
-            }
-            return DispatchDecision::Wait(self.enqueue(req, outage_end));
+            return self.wait_out_outage(now, req, place);
         }
         self.outage_since = None;
-        let queue_time = self.expected_wait(now, self.queue.ahead(req.priority) + 1);
-        if now + queue_time > req.queue_deadline {
-            let retry_after = self.next_retry_after(now);
+        let mut queue_time = self.expected_wait(now, self.queue.ahead(place.priority) + 1);
+        if let Some(demotion) = place.demotion
+            && now + queue_time > demotion.at
+        {
+            // It would miss its objective in any case, and must not delay those that can meet theirs.
+            place.demote(demotion);
+            queue_time = self.expected_wait(now, self.queue.ahead(place.priority) + 1);
+        }
+        if now + queue_time > place.deadline {
+            self.record_admission(now, place.class, req.workspace, false);
+            let retry_after = self.next_retry_after(now).min(req.return_time_max);
             return self.refuse(Code::Overloaded, retry_after);
         }
-        DispatchDecision::Wait(self.enqueue(req, req.queue_deadline))
+        self.enqueue(req, place)
     }
 
-    fn enqueue(&mut self, req: &DispatchRequest, deadline: Instant) -> Ticket {
-        self.queue.push(Waiter {
+    /// Decides on a request while no endpoint accepts work.
+    fn wait_out_outage(
+        &mut self,
+        now: Instant,
+        req: &DispatchRequest,
+        place: QueuePlace,
+    ) -> DispatchDecision {
+        let outage_start = *self.outage_since.get_or_insert(now);
+        let outage_end = outage_start + OUTAGE_EXPECTED;
+        let may_end_in_time = now < outage_end && req.outage_deadline >= outage_end;
+        if self.admission.is_none() {
+            if !may_end_in_time {
+                return self.refuse(Code::NoEndpoint, RETRY_AFTER_OUTAGE);
+            }
+            return self.enqueue(req, QueuePlace { deadline: outage_end, ..place });
+        }
+        // A caller that has been refused before does not come a third time, so it waits as long as it can.
+        if may_end_in_time || (req.is_caller_retry && now < place.deadline) {
+            return self.enqueue(req, place);
+        }
+        let until_end = outage_end.saturating_duration_since(now).max(RETRY_AFTER_OUTAGE);
+        let retry_after = if now < outage_end { until_end } else { req.return_time_max };
+        self.refuse(Code::NoEndpoint, retry_after.min(req.return_time_max))
+    }
+
+    /// Where the request stands in the queue, and until when.
+    fn queue_place(&self, now: Instant, req: &DispatchRequest) -> QueuePlace {
+        let Some(admission) = &self.admission else {
+            let priority =
+                req.urgency.saturating_mul(2).saturating_add(u8::from(req.is_caller_retry));
+            return QueuePlace {
+                priority,
+                class: None,
+                demotion: None,
+                deadline: req.queue_deadline,
+            };
+        };
+        let on_time = admission.class(req.urgency, false);
+        let late = admission.class(req.urgency, true);
+        let demotion = Demotion { at: req.queue_deadline, priority: late.position(), class: late };
+        let mut place = QueuePlace {
+            priority: on_time.position(),
+            class: Some(on_time),
+            demotion: Some(demotion),
+            deadline: req.late_deadline.max(req.queue_deadline),
+        };
+        if demotion.at <= now {
+            place.demote(demotion);
+        }
+        place
+    }
+
+    fn enqueue(&mut self, req: &DispatchRequest, place: QueuePlace) -> DispatchDecision {
+        let deadline = place.deadline;
+        let ticket = self.queue.push(Waiter {
             ticket: Ticket(0),
-            priority: req.priority,
-            deadline,
+            place,
+            workspace: req.workspace,
+            workspace_admitted: 0.0,
             prompt_tokens: req.prompt_tokens,
             retry_after: RETRY_AFTER_MIN,
+            return_time_max: req.return_time_max,
             tried: req.tried.clone(),
             earlier: req.earlier,
-        })
+        });
+        DispatchDecision::Wait(ticket, deadline)
+    }
+
+    /// Selects a member within the ceiling of the request's class.
+    fn choose_for(
+        &mut self,
+        now: Instant,
+        place: &QueuePlace,
+        prompt_tokens: u32,
+        tried: &[MemberKey],
+    ) -> Option<MemberKey> {
+        let own_places = self.own_places();
+        let limit = match (&mut self.admission, place.class) {
+            (Some(admission), Some(class)) => admission.limit(now, class, own_places),
+            _ => AdmissionLimit::default(),
+        };
+        self.choose_member(now, limit, prompt_tokens, tried)
+    }
+
+    fn record_admission(
+        &mut self,
+        now: Instant,
+        class: Option<AdmissionClass>,
+        workspace: u64,
+        admitted: bool,
+    ) {
+        if let (Some(admission), Some(class)) = (&mut self.admission, class) {
+            admission.record(now, class, workspace, admitted);
+        }
     }
 
     /// Removes a request from the queue.
@@ -426,8 +552,10 @@
     /// Assigns free slots to queued requests and refuses those whose deadline has passed.
     pub fn tick(&mut self, now: Instant) -> Vec<QueueOutcome> {
         let mut outcomes = Vec::new();
+        self.queue.demote(now);
         for w in self.queue.pop_expired(now) {
-            let retry_after = self.next_retry_after(now).max(w.retry_after);
+            self.record_admission(now, w.place.class, w.workspace, false);
+            let retry_after = self.next_retry_after(now).max(w.retry_after).min(w.return_time_max);
             outcomes.push((w.ticket, Err(Refusal { code: Code::Overloaded, retry_after })));
         }
         if self.queue.len() > 0
@@ -436,13 +564,17 @@
             outcomes.extend(self.queue.drain().map(|w| (w.ticket, Err(refusal))));
         }
         loop {
-            // Moved out of `self`, because `choose_member` borrows all of it mutably.
+            // Moved out of `self`, because `choose_for` borrows all of it mutably.
             let mut queue = std::mem::take(&mut self.queue);
-            let next =
-                queue.pop_first_placeable(|w| self.choose_member(now, w.prompt_tokens, &w.tried));
+            if let Some(admission) = &self.admission {
+                queue.rank_workspaces(|w| admission.workspace_shares().recent(now, w));
+            }
+            let next = queue
+                .pop_first_placeable(|w| self.choose_for(now, &w.place, w.prompt_tokens, &w.tried));
             self.queue = queue;
             let Some((w, key)) = next else { return outcomes };
             self.assign(now, key, w.prompt_tokens, w.earlier);
+            self.record_admission(now, w.place.class, w.workspace, true);
             outcomes.push((w.ticket, Ok(key)));
         }
     }
--- a/crates/core/src/dispatch/pool/selection.rs
+++ b/crates/core/src/dispatch/pool/selection.rs
@@ -7,6 +7,7 @@
 use smallvec::SmallVec;
 
 use super::Pool;
+use crate::dispatch::AdmissionLimit;
 use crate::dispatch::Member;
 use crate::dispatch::MemberKey;
 use crate::dispatch::draw_water_filling;
@@ -40,19 +41,21 @@
 
 impl Pool {
     /// Selects the member for a request among those with a free slot: with a limiter by a weighted
-    /// random draw, otherwise the one with the lowest cost.
+    /// random draw, otherwise the one with the lowest cost. The request may fill the fleet as
+    /// far as `admission` says.
     pub(super) fn choose_member(
         &mut self,
         now: Instant,
+        admission: AdmissionLimit,
         prompt_tokens: u32,
         tried: &[MemberKey],
     ) -> Option<MemberKey> {
-        if self.in_flight >= self.limit(now) {
+        if f64::from(self.in_flight) >= f64::from(self.limit(now)) * admission.ceiling {
             return None;
         }
         let fleet =
             if self.limiter.is_some() { self.fleet_load(now) } else { FleetLoad::default() };
-        if self.streams_at_limit(now, &fleet) {
+        if self.streams_at_limit(now, &fleet, admission) {
             return None;
         }
         self.scan_offset = self.scan_offset.wrapping_add(1);
@@ -139,6 +142,12 @@
         self.hold_ms.mean().map_or(HOLD_DEFAULT, |ms| Duration::from_secs_f64(ms / 1e3))
     }
 
+    /// This gateway's even part of the streams that all gateways together may have in flight.
+    pub(super) fn own_places(&self) -> f64 {
+        let per_endpoint = self.cfg.limiter.map_or(0.0, |l| l.streams_per_endpoint);
+        per_endpoint * self.members.len() as f64 / f64::from(self.cfg.gateways.known())
+    }
+
     /// Whether this gateway has used up its part of the streams that all gateways together may have
     /// in flight.
     ///
@@ -146,12 +155,17 @@
     /// endpoints were observed it may take as large a part as it holds of the streams in flight, and
     /// at least an even one. Parts of a place are rounded at random, so that the gateways take all
     /// free places, and no more, in expectation.
-    fn streams_at_limit(&mut self, now: Instant, fleet: &FleetLoad) -> bool {
+    fn streams_at_limit(
+        &mut self,
+        now: Instant,
+        fleet: &FleetLoad,
+        admission: AdmissionLimit,
+    ) -> bool {
         let Some(limiter) = &self.cfg.limiter else { return false };
-        let limit = limiter.streams_per_endpoint * f64::from(fleet.endpoints);
+        let limit = admission.ceiling * limiter.streams_per_endpoint * f64::from(fleet.endpoints);
         let gateways = f64::from(self.cfg.gateways.known());
         let held = (f64::from(self.in_flight) + 1.0) / (fleet.requests + gateways);
-        let part = held.max(1.0 / gateways).min(1.0);
+        let part = (held.max(1.0 / gateways) * admission.part_factor).min(1.0);
         let (rounding, drawn_at) = self.rounding;
         let redraw = |at: Instant| now.saturating_duration_since(at) >= ROUNDING_PERIOD;
         let rounding = if drawn_at.is_none_or(redraw) {
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -11,6 +11,7 @@
 pub use policy::ServicePolicy;
 pub use policy::TrafficPolicy;
 pub use policy::Workspace;
+pub use policy::urgency;
 pub use route::Route;
 pub use route::RouteKind;
 pub use route::ServiceKey;
--- a/crates/core/src/traffic/policy.rs
+++ b/crates/core/src/traffic/policy.rs
@@ -151,12 +151,41 @@
         self.routes.iter().filter(targets_service).filter_map(|r| r.event_gap_max).min()
     }
 
+    /// Urgencies of the requests to a service: each combination of a workspace's own priority, if it has one,
+    /// and a route's.
+    pub fn urgencies(&self, service: &str) -> Vec<u8> {
+        let Some(key) = self.services.iter().position(|s| s.name == service) else {
+            return Vec::new();
+        };
+        let targets_service =
+            |r: &&Route| r.targets.iter().any(|t| usize::from(t.service.0) == key);
+        let mut urgencies = Vec::new();
+        for route in self.routes.iter().filter(targets_service) {
+            let workspaces = self.workspaces.iter().map(|w| urgency(w.priority, route.priority));
+            urgencies.extend(workspaces);
+            if self.workspaces.is_empty() || route.public {
+                urgencies.push(urgency(None, route.priority));
+            }
+        }
+        urgencies.sort_unstable();
+        urgencies.dedup();
+        urgencies
+    }
+
     /// Returns the limits on callers.
     pub fn limits(&self) -> CallerLimits {
         self.limits
     }
 }
 
+/// Urgency of a request: its workspace's own priority goes before its route's. Lower values are served
+/// first.
+pub fn urgency(workspace: Option<u8>, route: u8) -> u8 {
+    const ROUTE_PRIORITIES: u8 = 10;
+    let first = workspace.unwrap_or(route).min(ROUTE_PRIORITIES);
+    first * ROUTE_PRIORITIES + route.min(ROUTE_PRIORITIES - 1)
+}
+
 fn check_route(r: &Route) -> Result<(), PolicyError> {
     let route = || r.name.clone();
     if !r.prefix.starts_with('/') || !r.prefix.ends_with('/') {
--- a/crates/core/src/traffic/route.rs
+++ b/crates/core/src/traffic/route.rs
@@ -60,6 +60,8 @@
     pub objective: Duration,
     /// Objective for the gap between two events of a stream; longer gaps count as late.
     pub event_gap_max: Option<Duration>,
+    /// Time without an event after which callers give a stream up, also before its first event.
+    pub first_event_patience: Option<Duration>,
     /// Priority; lower values are served first.
     pub priority: u8,
     /// Services among which the requests are split.
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -61,9 +61,13 @@
 
 fn request(now: Instant) -> DispatchRequest {
     DispatchRequest {
-        priority: 0,
+        urgency: 0,
+        is_caller_retry: false,
+        workspace: 0,
         prompt_tokens: 0,
         queue_deadline: now + 150 * MS,
+        late_deadline: now + 150 * MS,
+        return_time_max: 2500 * MS,
         outage_deadline: now,
         tried: Default::default(),
         earlier: EarlierSends::None,
@@ -147,7 +151,7 @@
                 pool.complete(now, key, RequestOutcome::Whole, MS);
             }
             DispatchDecision::Refuse(r) => assert_eq!(r.code, Code::RetryBudgetSpent),
-            DispatchDecision::Wait(_) => panic!("queued although endpoints are free"),
+            DispatchDecision::Wait(..) => panic!("queued although endpoints are free"),
         }
     }
     assert!(retries <= 100 / 5 + 80 / 8, "{retries} retries of 100 requests");
@@ -165,7 +169,7 @@
     let mut retry_delays = BTreeSet::new();
     for _ in 0..20 {
         match pool.dispatch(now, &request(now)) {
-            DispatchDecision::Wait(_) => queued += 1,
+            DispatchDecision::Wait(..) => queued += 1,
             DispatchDecision::Refuse(r) => {
                 assert_eq!(r.code, Code::Overloaded);
                 retry_delays.insert(r.retry_after);
@@ -192,12 +196,12 @@
         expect_sent(pool.dispatch(now, &request(now)));
     }
     let DispatchDecision::Wait(low_priority) =
-        pool.dispatch(now, &DispatchRequest { priority: 2, ..request(now) })
+        pool.dispatch(now, &DispatchRequest { urgency: 2, ..request(now) })
     else {
         panic!()
     };
     let DispatchDecision::Wait(high_priority) =
-        pool.dispatch(now, &DispatchRequest { priority: 0, ..request(now) })
+        pool.dispatch(now, &DispatchRequest { urgency: 0, ..request(now) })
     else {
         panic!()
     };
@@ -276,7 +280,7 @@
         "a caller's first request is not refused during an outage"
     );
     let decision = pool.dispatch(start + 300 * MS, &client_retry(start + 300 * MS));
-    let DispatchDecision::Wait(ticket) = decision else { panic!("{decision:?}") };
+    let DispatchDecision::Wait(ticket, _) = decision else { panic!("{decision:?}") };
     let now = start + 2000 * MS;
     (0..3).for_each(|n| pool.record_rank_state(address(n), rank_state(now, 0, true)));
     let outcomes = pool.tick(now);
@@ -284,7 +288,7 @@
 
     let now = now + 1000 * MS;
     (0..3).for_each(|n| pool.record_rank_state(address(n), rank_state(now, 0, false)));
-    let DispatchDecision::Wait(_) = pool.dispatch(now, &client_retry(now)) else {
+    let DispatchDecision::Wait(..) = pool.dispatch(now, &client_retry(now)) else {
         panic!("not queued at the start of an outage")
     };
     let later = now + 2400 * MS;
--- a/crates/core/tests/shared_limits.rs
+++ b/crates/core/tests/shared_limits.rs
@@ -65,9 +65,13 @@
             let among = if rng.random_range(0..uneven) == 0 { pools.len() } else { busy };
             let p = &mut pools[rng.random_range(0..among)];
             let req = DispatchRequest {
-                priority: 0,
+                urgency: 0,
+                is_caller_retry: false,
+                workspace: 0,
                 prompt_tokens: 0,
                 queue_deadline: now,
+                late_deadline: now + 150 * MS,
+                return_time_max: 2500 * MS,
                 outage_deadline: now,
                 tried: Default::default(),
                 earlier: EarlierSends::None,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -41,6 +41,13 @@
 /// Time from sending a request to its first event if forward passes take as long as allowed: the
 /// remainder of the current pass and one pass for the prefill.
 const FIRST_EVENT_LATENCY: Duration = Duration::from_millis(210);
+/// Time for the first event of a late request, twice [`FIRST_EVENT_LATENCY`]: such requests start while
+/// the endpoints are busiest.
+const LATE_FIRST_EVENT_LATENCY: Duration = Duration::from_millis(420);
+/// Multiple of the mean time that a request of a service takes, within which most of them end.
+const USUAL_HOLDS: u32 = 2;
+/// Callers honour a `Retry-After` up to this fraction of the time that they have left.
+const RETURN_TIME_DIVISOR: u32 = 3;
 /// Share of the latency objective that a unary request may spend waiting for a slot.
 const UNARY_WAIT_SHARE: f64 = 0.5;
 /// Longest wait for a slot of a request that has missed its latency objective or is a caller's
@@ -72,6 +79,10 @@
     pub(crate) route: Route,
     pub(crate) slot_pool: Arc<SlotPool>,
     pub(crate) workspace: Option<String>,
+    /// Number that stands for the workspace in the queue; 0 without one.
+    pub(crate) workspace_key: u64,
+    /// Whether the service admits its requests by urgency.
+    pub(crate) admits_by_urgency: bool,
     pub(crate) priority: u8,
     /// Digest of the parts that are equal when the caller repeats the request: path, key and body.
     pub(crate) digest: Digest,
@@ -121,17 +132,40 @@
         time_limit + CALLER_RETRY_MARGIN < self.route.timeout
     }
 
-    /// Latest time to start the request; after it the request is rejected instead.
+    /// Time since the caller's first attempt; zero if this is the first.
+    fn elapsed_before(&self) -> Duration {
+        if !self.is_caller_retry() {
+            return Duration::ZERO;
+        }
+        self.route.timeout.saturating_sub(self.meta.timeout.unwrap_or(self.route.timeout))
+    }
+
+    /// Latest time to start the request, or with admission by urgency, to start it on time. After it, the
+    /// request is rejected or waits behind those that can still be on time.
     fn queue_deadline(&self) -> Instant {
         let objective = self.route.objective;
         let late_start = self.now() + LATE_WAIT_MAX;
         if !self.route.kind.is_stream() {
             return (self.arrived + objective.mul_f64(UNARY_WAIT_SHARE)).max(late_start);
         }
+        let on_time = objective.saturating_sub(FIRST_EVENT_LATENCY);
+        if self.admits_by_urgency {
+            return self.arrived + on_time.saturating_sub(self.elapsed_before());
+        }
         if self.is_caller_retry() {
             return late_start;
         }
-        (self.arrived + objective.saturating_sub(FIRST_EVENT_LATENCY)).max(late_start)
+        (self.arrived + on_time).max(late_start)
+    }
+
+    /// Latest time to start a late request: the caller must get its first event before it gives up, and the
+    /// last one before the deadline.
+    fn late_deadline(&self) -> Instant {
+        let patience = self.route.first_event_patience.unwrap_or(self.route.timeout);
+        let first_event_due = self.arrived + patience.saturating_sub(LATE_FIRST_EVENT_LATENCY);
+        let hold = self.slot_pool.with_pool(|pool| pool.mean_hold()) * USUAL_HOLDS;
+        let finish_due = self.deadline.checked_sub(hold).unwrap_or(self.arrived);
+        first_event_due.min(finish_due)
     }
 
     /// Latest time to wait while no endpoint accepts work. A caller's retry may wait, since there
@@ -152,9 +186,13 @@
     /// Acquires a slot, waiting in the queue if needed.
     pub(crate) async fn acquire_slot(&mut self) -> Result<Slot, Refusal> {
         let req = DispatchRequest {
-            priority: 2 * self.priority + u8::from(self.is_caller_retry()),
+            urgency: self.priority,
+            is_caller_retry: self.is_caller_retry(),
+            workspace: self.workspace_key,
             prompt_tokens: self.meta.prompt_tokens,
             queue_deadline: self.queue_deadline().min(self.deadline),
+            late_deadline: self.late_deadline(),
+            return_time_max: self.remaining() / RETURN_TIME_DIVISOR,
             outage_deadline: self.outage_deadline(),
             tried: self.tried.clone(),
             earlier: self.earlier,
@@ -272,6 +310,8 @@
     pub(crate) route: String,
     pub(crate) service: String,
     pub(crate) policy_version: u64,
+    /// Urgency among the requests of the service; lower values are served first.
+    pub(crate) urgency: u8,
     pub(crate) gateway: Arc<Gateway>,
     pub(crate) arrived: Instant,
     pub(crate) queue_time: Duration,
@@ -324,6 +364,7 @@
             route = self.route.as_str(),
             service = self.service.as_str(),
             policy = self.policy_version,
+            urgency = self.urgency,
             status = self.status,
             code = self.code.map(Code::number),
             queued_ms = ms(self.queue_time),
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -10,6 +10,7 @@
 use crocustally_core::dispatch::EarlierSends;
 use crocustally_core::traffic::Route;
 use crocustally_core::traffic::TrafficPolicy;
+use crocustally_core::traffic::urgency;
 use crocustally_net::BufferBudget;
 use crocustally_net::CollectError;
 use crocustally_net::ResponseBody;
@@ -157,6 +158,7 @@
             route: route.name.clone(),
             service,
             policy_version: policy.version(),
+            urgency: urgency(priority, route.priority),
             gateway: gateway.clone(),
             arrived,
             queue_time: Duration::ZERO,
@@ -171,7 +173,9 @@
             framing: None,
             complete: false,
         },
-        priority: priority.unwrap_or(route.priority),
+        admits_by_urgency: slot_pool.with_pool(|pool| pool.admits_by_urgency()),
+        workspace_key: workspace.as_ref().map_or(0, |(name, _)| workspace_key(name)),
+        priority: urgency(priority, route.priority),
         workspace: workspace.map(|(name, _)| name),
         gateway: gateway.clone(),
         deadline: arrived + time_limit,
@@ -202,6 +206,11 @@
     Ok(Authorized { route, workspace })
 }
 
+/// Number that stands for a workspace in the queue.
+fn workspace_key(name: &str) -> u64 {
+    Digest::of(&[name.as_bytes()]).to_u64()
+}
+
 async fn read_body(mut body: Incoming, limit: usize, budget: &BufferBudget) -> Result<Bytes, Code> {
     match timeout(BODY_TIMEOUT, collect_body(&mut body, limit, budget)).await {
         None => Err(Code::CallerTooSlow),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,6 +14,7 @@
 
 use crocustally_core::Digest;
 use crocustally_core::control::PartFilter;
+use crocustally_core::dispatch::AdmissionSettings;
 use crocustally_core::dispatch::CrashTracker;
 use crocustally_core::dispatch::GatewaySet;
 use crocustally_core::dispatch::LimiterSettings;
@@ -318,7 +319,15 @@
         let Some(policy) = self.policy() else { return };
         for service in policy.services() {
             let cfg = self.pool_settings(&policy, service);
-            self.pool(&service.name).with_pool(|pool| pool.configure(cfg));
+            let urgencies = cfg.admission.as_ref().map(|a| format!("{:?}", a.urgencies));
+            let changed = self.pool(&service.name).with_pool(|pool| pool.configure(cfg));
+            if changed {
+                log::info!(
+                    service = service.name.as_str(), version = policy.version(),
+                    urgencies = urgencies.as_deref();
+                    "admission by urgency configured"
+                );
+            }
         }
     }
 
@@ -342,6 +351,7 @@
         });
         PoolSettings {
             domain: self.cfg.domain.clone(),
+            admission: limiter.and_then(|_| admission(policy, &service.name)),
             limiter,
             retry_ratio: self.cfg.retry_ratio,
             retry_span: self.cfg.retry_span,
@@ -367,3 +377,9 @@
         clients.entry(address).or_insert_with(create).clone()
     }
 }
+
+/// Settings of the admission by urgency; `None` for a service whose requests are all equally urgent.
+fn admission(policy: &TrafficPolicy, service: &str) -> Option<AdmissionSettings> {
+    let urgencies = policy.urgencies(service);
+    (urgencies.len() > 1).then(|| AdmissionSettings::for_urgencies(urgencies))
+}
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -216,24 +216,24 @@
         self.update_pool(now, |pool| pool.tick(now));
     }
 
-    /// Acquires a slot, waiting until `req.queue_deadline` at the latest.
+    /// Acquires a slot, waiting for as long as the pool decides.
     pub(crate) async fn acquire(self: &Arc<Self>, req: &DispatchRequest) -> Result<Slot, Refusal> {
-        let (ticket, rx) = {
+        let (ticket, deadline, rx) = {
             let mut inner = self.lock();
             match inner.pool.dispatch(self.clock.now(), req) {
                 DispatchDecision::Send(key) => {
                     return self.grant_slot(&inner, key, req.prompt_tokens);
                 }
                 DispatchDecision::Refuse(refusal) => return Err(refusal),
-                DispatchDecision::Wait(ticket) => {
+                DispatchDecision::Wait(ticket, deadline) => {
                     let (tx, rx) = async_channel::bounded(1);
                     inner.waiters.insert(ticket, tx);
-                    (ticket, rx)
+                    (ticket, deadline, rx)
                 }
             }
         };
         let guard = WaiterGuard { slot_pool: self, ticket, rx };
-        let time_limit = req.queue_deadline.saturating_duration_since(self.clock.now());
+        let time_limit = deadline.saturating_duration_since(self.clock.now());
         let mut result = timeout(time_limit, guard.rx.recv()).await;
         if result.is_none() {
             self.deliver_pending();
