Core: avoid endpoints of failure domains that are cut off

When a failure domain is cut off, every gateway learned of each of its endpoints by a connection timeout of its own.

An engine whose load report lags by 0.7 s while most others report is a fallback only. Two endpoints of a domain that fail without a response from the domain in between make the domain suspect for the pools of all services; it is probed by single requests until it responds. Idle connections to a suspect domain are closed.

Tests with simulated time: core/tests/reachability.rs.

--- a/crates/core/src/dispatch/member.rs
+++ b/crates/core/src/dispatch/member.rs
@@ -72,6 +72,10 @@
 /// Agent reports older than this are ignored.
 const REPORT_STALE_AFTER: Duration = Duration::from_millis(1500);
 
+/// Age from which a report lags behind, if most of the others do not: several of the agents' intervals,
+/// and the way over a control instance.
+const REPORT_LAGS_AFTER: Duration = Duration::from_millis(700);
+
 fn is_fresh(now: Instant, mean: &Ewma) -> bool {
     mean.last_sample_at().is_some_and(|at| now.saturating_duration_since(at) < STATS_TIME_CONSTANT)
 }
@@ -251,6 +255,13 @@
         fresh.map(|r| now.saturating_duration_since(r.observed_at))
     }
 
+    /// Whether the endpoint's agent has reported before and its last report is so old that the endpoint
+    /// may be cut off; `None` if it has never reported.
+    pub fn report_lags(&self, now: Instant) -> Option<bool> {
+        let age = now.saturating_duration_since(self.rank_state.as_ref()?.observed_at);
+        Some(age > REPORT_LAGS_AFTER)
+    }
+
     /// Requests of this gateway sent less those ended since the state in the last report was
     /// observed.
     pub fn unreported_net(&self) -> f64 {
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -12,6 +12,7 @@
 mod member;
 mod pool;
 mod queue;
+mod reachability;
 mod sliding_window;
 mod water_filling;
 
@@ -34,5 +35,8 @@
 pub use pool::Refusal;
 pub use pool::address_key;
 pub use queue::Ticket;
+pub use reachability::Reachability;
+pub use reachability::ReachabilityChange;
+pub use reachability::SharedReachability;
 pub use sliding_window::SlidingWindow;
 pub use water_filling::draw_water_filling;
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -1,5 +1,6 @@
 //! [`Pool`]: endpoint selection and queueing for one service in one gateway.
 
+mod reach;
 mod selection;
 
 use std::collections::BTreeMap;
@@ -21,6 +22,7 @@
 use super::MemberKey;
 use super::RankState;
 use super::RequestOutcome;
+use super::SharedReachability;
 use super::SlidingWindow;
 use super::Ticket;
 use super::queue::WaitQueue;
@@ -161,6 +163,7 @@
     /// When a request first found no endpoint that accepts work; `None` outside of an outage.
     outage_since: Option<Instant>,
     scan_offset: u32,
+    reachability: SharedReachability,
     rng: ChaCha8Rng,
     /// Random number from 0 to 1 that rounds this gateway's part of the free places, and when it was
     /// drawn.
@@ -187,6 +190,7 @@
             last_retry_at: None,
             outage_since: None,
             scan_offset: 0,
+            reachability: SharedReachability::default(),
             rounding: (0.0, None),
         }
     }
@@ -257,6 +261,10 @@
     pub fn record_rank_state_by_key(&mut self, key: u64, state: RankState) {
         let member = self.by_address.get(&key).and_then(|k| self.members.get_mut(k));
         if let Some(m) = member {
+            if m.report_lags(state.observed_at) == Some(true) {
+                let domain = &m.registration.heartbeat.domain;
+                reach::lock(&self.reachability).record_reports_resumed(state.observed_at, domain);
+            }
             m.record_rank_state(state);
         }
     }
@@ -410,6 +418,7 @@
         held: Duration,
     ) -> Vec<QueueOutcome> {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.record_reachability(now, key, outcome, held);
         if let Some(m) = self.members.get_mut(&key) {
             m.record_outcome(now, outcome);
             let ended = self.by_id.get(&m.registration.heartbeat.id) != Some(&key);
--- a/crates/core/src/dispatch/pool/selection.rs
+++ b/crates/core/src/dispatch/pool/selection.rs
@@ -7,6 +7,7 @@
 use smallvec::SmallVec;
 
 use super::Pool;
+use super::reach::Preference;
 use crate::dispatch::Member;
 use crate::dispatch::MemberKey;
 use crate::dispatch::draw_water_filling;
@@ -58,7 +59,10 @@
         self.scan_offset = self.scan_offset.wrapping_add(1);
         let keys: SmallVec<[MemberKey; 32]> = self.members.keys().copied().collect();
         let start = self.scan_offset as usize;
+        let avoidance = self.avoidance(now, tried);
         let mut candidates: SmallVec<[(MemberKey, f64, f64); 32]> = SmallVec::new();
+        let mut fallback: SmallVec<[(MemberKey, f64, f64); 32]> = SmallVec::new();
+        let mut probe = None;
         for i in 0..keys.len() {
             // The rotating start distributes ties evenly.
             let key = keys[(start + i) % keys.len()];
@@ -69,13 +73,28 @@
             if !eligible || !has_room {
                 continue;
             }
+            let preference = avoidance.preference(now, m);
+            if preference == Preference::Avoid {
+                continue;
+            }
             let score = self.score(now, m, prompt_tokens);
             let age_s = m.report_age(now).map_or(fleet.age_s, |age| age.as_secs_f64());
             let cold_share = if m.is_rate_limited(now) { self.cold_share(m) } else { u32::MAX };
             if self.members.get_mut(&key).is_some_and(|m| m.cold_limit_allows(now, cold_share)) {
-                candidates.push((key, score, age_s));
+                match preference {
+                    Preference::Probe => probe = probe.or(Some(key)),
+                    Preference::Fallback => fallback.push((key, score, age_s)),
+                    _ => candidates.push((key, score, age_s)),
+                }
             }
         }
+        if let Some(key) = probe {
+            self.record_probe(now, key);
+            return Some(key);
+        }
+        if candidates.is_empty() {
+            candidates = fallback;
+        }
         if self.limiter.is_none() {
             let cheapest = candidates.iter().min_by(|a, b| a.1.total_cmp(&b.1));
             return cheapest.map(|(key, ..)| *key);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -228,6 +228,7 @@
         }
         self.tried.push(slot.key);
         slot.finish(outcome);
+        self.gateway.note_reachability();
     }
 
     /// Builds the gateway's own error response.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,6 +18,7 @@
 use crocustally_core::dispatch::GatewaySet;
 use crocustally_core::dispatch::LimiterSettings;
 use crocustally_core::dispatch::PoolSettings;
+use crocustally_core::dispatch::SharedReachability;
 use crocustally_core::fleet::Registry;
 use crocustally_core::traffic::Route;
 use crocustally_core::traffic::RouteKind;
@@ -139,6 +140,8 @@
     pub(crate) trials: Mutex<Trials>,
     pools: RwLock<HashMap<String, Arc<SlotPool>>>,
     clients: Mutex<HashMap<SocketAddr, Arc<HttpClient>>>,
+    /// Failure domains that appear to be cut off, for the pools of all services.
+    reachability: SharedReachability,
 }
 
 /// Listening addresses of a gateway.
@@ -174,6 +177,7 @@
             trials: Mutex::new(Trials::default()),
             pools: RwLock::new(HashMap::new()),
             clients: Mutex::new(HashMap::new()),
+            reachability: SharedReachability::default(),
             clock,
             cfg,
         });
@@ -301,6 +305,7 @@
             };
             let cfg = policy.as_ref().and_then(settings_in).unwrap_or_default();
             let created = Arc::new(SlotPool::new(cfg, self.clock.clone()));
+            created.with_pool(|pool| pool.share_reachability(self.reachability.clone()));
             let mut pools = self.pools.write().unwrap_or_else(PoisonError::into_inner);
             pools.entry(service.to_owned()).or_insert(created).clone()
         })
@@ -353,6 +358,39 @@
         }
     }
 
+    /// Logs the failure domains that have become suspect or reachable again. The idle connections to
+    /// a suspect one are closed, since a request on one of them would be lost in silence.
+    pub(crate) fn note_reachability(&self) {
+        let mut reachability = self.reachability.lock().unwrap_or_else(PoisonError::into_inner);
+        let changes = reachability.take_changes();
+        drop(reachability);
+        for change in changes {
+            let domain = change.domain.as_str();
+            metrics::gauge!("crocustally_suspect_domain", "domain" => change.domain.clone())
+                .set(f64::from(u8::from(change.suspect)));
+            if change.suspect {
+                log::warn!(domain = domain; "failure domain is suspect: endpoints do not respond");
+                metrics::counter!("crocustally_domain_suspicions").increment(1);
+                self.discard_idle_in(domain);
+            } else {
+                let lasted_ms = change.lasted.as_millis() as u64;
+                log::info!(domain = domain, lasted_ms = lasted_ms; "failure domain responds again");
+            }
+        }
+    }
+
+    /// Closes the idle connections to all endpoints of a failure domain.
+    fn discard_idle_in(&self, domain: &str) {
+        let fleet = self.fleet();
+        let in_domain = fleet.registry.iter().filter(|r| r.heartbeat.domain == domain);
+        let addresses: Vec<SocketAddr> = in_domain.map(|r| r.heartbeat.address).collect();
+        drop(fleet);
+        let clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        let found: Vec<_> = addresses.iter().filter_map(|a| clients.get(a).cloned()).collect();
+        drop(clients);
+        found.iter().for_each(|client| client.discard_idle());
+    }
+
     /// The HTTP client for an endpoint's address, created if needed.
     pub(crate) fn endpoint_client(&self, address: SocketAddr) -> Arc<HttpClient> {
         let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -88,6 +88,12 @@
         }
     }
 
+    /// Records that the endpoint has begun to respond.
+    pub(crate) fn record_reached(&self) {
+        let now = self.slot_pool.clock.now();
+        self.slot_pool.lock().pool.record_reached(now, self.key);
+    }
+
     /// Records that the endpoint says that it leaves; returns whether that is new.
     pub(crate) fn record_leaving(&self) -> bool {
         let mut is_new = false;
@@ -114,6 +120,7 @@
         let now = self.slot_pool.clock.now();
         let mut inner = self.slot_pool.lock();
         inner.pool.record_event_gap(now, gap);
+        inner.pool.record_reached(now, self.key);
         if !inner.waiters.is_empty() {
             let outcomes = inner.pool.tick(now);
             inner.deliver_outcomes(now, outcomes);
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -131,6 +131,8 @@
         }
         Some(Ok(response)) => response,
     };
+    slot.record_reached();
+    ex.gateway.note_reachability();
     let framing = BodyFraming::of(&response);
     let (head, body) = response.into_parts();
     let meta = ex.gateway.dialect.decode_response(&head);
