Gateway: prefer endpoints with an idle connection

With 31 gateways and 72 engines an idle connection to the engine drawn was rare, so 0.5 to 0.7 connections were opened for each request.

After the water-filling draw, an endpoint with an idle connection and about the same load is taken. One that was idle for more than 3 s is used only if its failure domain has responded within 3 s.

--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod crash_tracker;
 mod ewma;
 mod gateway_set;
+mod idle_connections;
 mod limiter;
 mod member;
 mod pool;
@@ -20,6 +21,7 @@
 pub use crash_tracker::CrashTracker;
 pub use ewma::Ewma;
 pub use gateway_set::GatewaySet;
+pub use idle_connections::IdleConnections;
 pub use limiter::Limiter;
 pub use limiter::LimiterSettings;
 pub use member::Member;
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -1,5 +1,6 @@
 //! [`Pool`]: endpoint selection and queueing for one service in one gateway.
 
+mod connections;
 mod reach;
 mod selection;
 
@@ -7,6 +8,7 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -16,6 +18,7 @@
 
 use super::Ewma;
 use super::GatewaySet;
+use super::IdleConnections;
 use super::Limiter;
 use super::LimiterSettings;
 use super::Member;
@@ -164,6 +167,7 @@
     outage_since: Option<Instant>,
     scan_offset: u32,
     reachability: SharedReachability,
+    idle_connections: Option<Arc<dyn IdleConnections>>,
     rng: ChaCha8Rng,
     /// Random number from 0 to 1 that rounds this gateway's part of the free places, and when it was
     /// drawn.
@@ -191,6 +195,7 @@
             outage_since: None,
             scan_offset: 0,
             reachability: SharedReachability::default(),
+            idle_connections: None,
             rounding: (0.0, None),
         }
     }
--- a/crates/core/src/dispatch/pool/selection.rs
+++ b/crates/core/src/dispatch/pool/selection.rs
@@ -105,6 +105,7 @@
             candidates.iter().map(|(.., age_s)| (-age_s / fleet.age_s.max(1e-3)).exp()).collect();
         let arrivals = self.completion_rate(&fleet) * fleet.age_s;
         let index = draw_water_filling(&loads, &unfilled, arrivals, &mut self.rng)?;
+        let index = self.prefer_connected(&candidates, index);
         Some(candidates[index].0)
     }
 
@@ -115,7 +116,7 @@
 
     /// This gateway's part of the connections that an endpoint accepts. One that does not know the
     /// others yet has one, as its callers have no other gateway.
-    fn connection_share(&self, m: &Member) -> u32 {
+    pub(super) fn connection_share(&self, m: &Member) -> u32 {
         let gateways = &self.cfg.gateways;
         let least = u32::from(!gateways.is_complete());
         gateways.share(m.key_hash, self.cfg.connections_max).max(least)
--- a/crates/core/src/dispatch/reachability.rs
+++ b/crates/core/src/dispatch/reachability.rs
@@ -139,6 +139,12 @@
         self.domains.get(domain).is_some_and(|d| d.suspicion.is_some())
     }
 
+    /// Whether the domain has responded within `time`.
+    pub fn responded_within(&self, now: Instant, domain: &str, time: Duration) -> bool {
+        let last = self.domains.get(domain).and_then(|d| d.last_response_at);
+        last.is_some_and(|at| now.saturating_duration_since(at) < time)
+    }
+
     /// Whether the next request may probe the domain, which is suspect.
     pub fn is_probe_due(&self, now: Instant, domain: &str) -> bool {
         let suspicion = self.domains.get(domain).and_then(|d| d.suspicion.as_ref());
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,12 +24,10 @@
 use crocustally_core::traffic::RouteKind;
 use crocustally_core::traffic::ServicePolicy;
 use crocustally_core::traffic::TrafficPolicy;
-use crocustally_net::Abandonment;
 use crocustally_net::BufferBudget;
 use crocustally_net::Channel;
 use crocustally_net::Clock;
 use crocustally_net::HttpClient;
-use crocustally_net::HttpClientSettings;
 use crocustally_net::HttpLimits;
 use crocustally_net::Runtime;
 use crocustally_net::Shutdown;
@@ -41,6 +39,7 @@
 
 use crate::GatewayDialect;
 use crate::GatewaySettings;
+use crate::endpoint_clients::EndpointClients;
 use crate::endpoint_ends;
 use crate::endpoint_ends::CrashReports;
 use crate::endpoint_ends::Trials;
@@ -55,11 +54,6 @@
 const GATEWAY_EXPIRY: Duration = Duration::from_secs(150);
 /// Idle timeout of callers' connections; callers reuse one for up to 12 s.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(25);
-/// Timeout for opening a connection to an endpoint: many times the delay between failure domains.
-const ENDPOINT_CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Longest time for which an idle connection to an endpoint is kept. The path may have gone silent
-/// since its last response.
-const ENDPOINT_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time for which a stopping gateway keeps accepting connections: the platform redirects callers
 /// after two missed health checks, one second apart.
 const SHUTDOWN_DRAIN_DELAY: Duration = Duration::from_millis(2500);
@@ -139,7 +133,7 @@
     pub(crate) crash_reports: CrashReports,
     pub(crate) trials: Mutex<Trials>,
     pools: RwLock<HashMap<String, Arc<SlotPool>>>,
-    clients: Mutex<HashMap<SocketAddr, Arc<HttpClient>>>,
+    clients: Arc<EndpointClients>,
     /// Failure domains that appear to be cut off, for the pools of all services.
     reachability: SharedReachability,
 }
@@ -176,7 +170,7 @@
             crash_reports: CrashReports::default(),
             trials: Mutex::new(Trials::default()),
             pools: RwLock::new(HashMap::new()),
-            clients: Mutex::new(HashMap::new()),
+            clients: Arc::new(EndpointClients::new(rt, cfg.endpoint_idle)),
             reachability: SharedReachability::default(),
             clock,
             cfg,
@@ -305,7 +299,10 @@
             };
             let cfg = policy.as_ref().and_then(settings_in).unwrap_or_default();
             let created = Arc::new(SlotPool::new(cfg, self.clock.clone()));
-            created.with_pool(|pool| pool.share_reachability(self.reachability.clone()));
+            created.with_pool(|pool| {
+                pool.share_reachability(self.reachability.clone());
+                pool.use_idle_connections(self.clients.clone());
+            });
             let mut pools = self.pools.write().unwrap_or_else(PoisonError::into_inner);
             pools.entry(service.to_owned()).or_insert(created).clone()
         })
@@ -385,23 +382,11 @@
         let in_domain = fleet.registry.iter().filter(|r| r.heartbeat.domain == domain);
         let addresses: Vec<SocketAddr> = in_domain.map(|r| r.heartbeat.address).collect();
         drop(fleet);
-        let clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
-        let found: Vec<_> = addresses.iter().filter_map(|a| clients.get(a).cloned()).collect();
-        drop(clients);
-        found.iter().for_each(|client| client.discard_idle());
+        addresses.iter().for_each(|a| self.clients.discard_idle(*a));
     }
 
     /// The HTTP client for an endpoint's address, created if needed.
     pub(crate) fn endpoint_client(&self, address: SocketAddr) -> Arc<HttpClient> {
-        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
-        let create = || {
-            let cfg = HttpClientSettings {
-                connect_timeout: ENDPOINT_CONNECT_TIMEOUT,
-                idle_timeout: ENDPOINT_IDLE_TIMEOUT,
-                abandonment: Abandonment::OwnerReset,
-            };
-            Arc::new(HttpClient::with_settings(&self.rt, address, cfg))
-        };
-        clients.entry(address).or_insert_with(create).clone()
+        self.clients.client(address)
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! endpoints; a platform's adapter implements it.
 
 mod dialect;
+mod endpoint_clients;
 mod endpoint_ends;
 mod events;
 mod exchange;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -53,6 +53,9 @@
     /// Maximum length of one event of a stream in bytes. A longer one counts as broken.
     #[serde(default = "default_event_bytes_max")]
     pub event_bytes_max: usize,
+    /// Longest time for which an idle connection to an endpoint is kept, in seconds.
+    #[serde(default = "default_endpoint_idle")]
+    pub endpoint_idle_s: f64,
     /// Factor on the request rate of a cold endpoint.
     #[serde(default = "default_cold_factor")]
     pub cold_factor: f64,
@@ -104,6 +107,12 @@
     256 * 1024
 }
 
+/// Long enough for a gateway that sends some requests per second to a service of some dozen endpoints to
+/// find an idle connection at most of them.
+fn default_endpoint_idle() -> f64 {
+    10.0
+}
+
 fn default_retry_slack() -> f64 {
     40.0
 }
@@ -159,6 +168,8 @@
     pub response_bytes_max: usize,
     /// Maximum length of one event of a stream in bytes.
     pub event_bytes_max: usize,
+    /// Longest time for which an idle connection to an endpoint is kept.
+    pub endpoint_idle: Duration,
     /// Factor on the request rate of a cold endpoint.
     pub cold_factor: f64,
     /// Requests per second that a cold endpoint gets in addition, across all gateways.
@@ -187,6 +198,7 @@
         }
         for (key, n) in [
             ("grace_s", raw.grace_s),
+            ("endpoint_idle_s", raw.endpoint_idle_s),
             ("retry_ratio", raw.retry_ratio),
             ("retry_slack", raw.retry_slack),
             ("cold_factor", raw.cold_factor),
@@ -235,6 +247,7 @@
             memory_mb: raw.memory_mb,
             response_bytes_max: raw.response_bytes_max,
             event_bytes_max: raw.event_bytes_max,
+            endpoint_idle: Duration::from_secs_f64(raw.endpoint_idle_s),
             cold_factor: raw.cold_factor,
             cold_slack: raw.cold_slack,
             pass_target_share: raw.pass_target_share,
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -32,6 +32,9 @@
 
 /// Share of an endpoint's keep-alive time for which an idle connection is reused.
 const KEEP_ALIVE_SHARE: f64 = 0.7;
+/// Time for which an idle connection is kept if its endpoint announces none. Also the age from which one
+/// is used only if its failure domain has responded recently: the path may have gone silent since.
+const UNANNOUNCED_IDLE_TIME: Duration = Duration::from_secs(3);
 
 /// Time for which a new connection has to stay open to show that an endpoint has not ended: an ending
 /// process closes its connections within a few milliseconds, and its successor, if it starts at once,
@@ -60,7 +63,8 @@
         if self.framing != BodyFraming::Close {
             return true;
         }
-        let check = timeout(ex.remaining(), self.client.check_outlives(OUTLIVE_TIME)).await;
+        let check = self.client.check_outlives(OUTLIVE_TIME, UNANNOUNCED_IDLE_TIME);
+        let check = timeout(ex.remaining(), check).await;
         check == Some(ConnectionCheck::Accepts) && !endpoint_ends::is_replaced(ex, slot.key)
     }
 
@@ -71,7 +75,7 @@
         }
         match self.meta.keep_alive {
             Some(time) => self.client.put_idle_for(self.conn, time.mul_f64(KEEP_ALIVE_SHARE)),
-            None => self.client.put_idle(self.conn),
+            None => self.client.put_idle_for(self.conn, UNANNOUNCED_IDLE_TIME),
         }
     }
 }
@@ -109,9 +113,19 @@
     let client = ex.gateway.endpoint_client(slot.address);
     // A pooled connection may break while sending, and then it is unknown whether the request was
     // executed. Requests that must not be repeated get a new connection.
-    let new_connection = !ex.route.kind.is_retryable();
+    let now = ex.now();
+    let (keep_idle, path_is_proven) = ex
+        .slot_pool
+        .with_pool(|pool| (pool.idle_allowance(slot.key), pool.path_is_proven(now, slot.key)));
+    let idle_below = match (ex.route.kind.is_retryable(), path_is_proven) {
+        (false, _) => Duration::ZERO,
+        (true, false) => UNANNOUNCED_IDLE_TIME,
+        (true, true) => Duration::MAX,
+    };
+    // The connection that this request reuses is no longer idle then.
+    client.trim_idle(keep_idle.max(usize::from(!idle_below.is_zero())));
     ex.progress.may_have_run.store(true, Ordering::Release);
-    let (response, conn) = match timeout(time_limit, client.send(req, new_connection)).await {
+    let (response, conn) = match timeout(time_limit, client.send_reusing(req, idle_below)).await {
         None => {
             client.discard_idle();
             return SendOutcome::MaybeExecuted(RequestOutcome::Silent);
@@ -131,6 +145,8 @@
         }
         Some(Ok(response)) => response,
     };
+    let connection = if conn.is_first_response() { "new" } else { "reused" };
+    metrics::counter!("crocustally_endpoint_sends", "connection" => connection).increment(1);
     slot.record_reached();
     ex.gateway.note_reachability();
     let framing = BodyFraming::of(&response);
--- a/crates/net/src/http_client.rs
+++ b/crates/net/src/http_client.rs
@@ -44,6 +44,8 @@
     pub connect_timeout: Duration,
     /// Maximum time that an idle connection is kept in the pool.
     pub idle_timeout: Duration,
+    /// Maximum number of idle connections that are kept; the oldest is closed for a newer one.
+    pub idle_max: usize,
     /// How a connection is given up that the server no longer acknowledges.
     pub abandonment: Abandonment,
 }
@@ -64,6 +66,7 @@
         Self {
             connect_timeout: Duration::from_millis(1000),
             idle_timeout: Duration::from_secs(60),
+            idle_max: usize::MAX,
             abandonment: Abandonment::KernelTimeout(Duration::from_secs(3)),
         }
     }
@@ -178,10 +181,24 @@
         &self,
         req: Request<Full<Bytes>>,
         new_connection: bool,
+    ) -> Result<(Response<Incoming>, HttpConnection), HttpError> {
+        self.send_reusing(req, if new_connection { Duration::ZERO } else { Duration::MAX }).await
+    }
+
+    /// Sends a request over a connection that has been idle for less than `idle_below`, or over a new
+    /// one if there is none.
+    ///
+    /// # Errors
+    ///
+    /// As for [`send`](Self::send).
+    pub async fn send_reusing(
+        &self,
+        req: Request<Full<Bytes>>,
+        idle_below: Duration,
     ) -> Result<(Response<Incoming>, HttpConnection), HttpError> {
         let mut req = req;
-        if !new_connection {
-            while let Some((mut conn, idle)) = self.take_idle() {
+        if !idle_below.is_zero() {
+            while let Some((mut conn, idle)) = self.take_idle(idle_below) {
                 match conn.send(req).await {
                     Ok(response) => return Ok((response, conn)),
                     Err(mut e) => match e.take_message() {
@@ -215,12 +232,13 @@
     }
 
     /// Checks whether the server outlives a connection that it has just closed: it must accept a
-    /// new one, and keep it open for `time`. The new connection goes to the pool.
+    /// new one, and keep it open for `time`. The new connection goes to the pool
+    /// for at most `keep`.
     ///
     /// A process that ends closes its connections one after the other, and its listener among them,
     /// so a connection may be accepted once more and then reset. A server with too many connections
     /// resets new ones as well, but goes on accepting them.
-    pub async fn check_outlives(&self, time: Duration) -> ConnectionCheck {
+    pub async fn check_outlives(&self, time: Duration, keep: Duration) -> ConnectionCheck {
         let conn = match self.connect().await {
             Ok(conn) => conn,
             Err(HttpError::Refused) => return ConnectionCheck::Refuses,
@@ -230,7 +248,7 @@
         if conn.tx.is_closed() {
             return self.check_connection().await;
         }
-        self.put_idle(conn);
+        self.put_idle_for(conn, keep);
         ConnectionCheck::Accepts
     }
 
@@ -246,11 +264,25 @@
         }
         let since = Instant::now();
         let expires_at = since + time.min(self.cfg.idle_timeout);
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner).push(IdleConnection {
-            conn,
-            since,
-            expires_at,
-        });
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.push(IdleConnection { conn, since, expires_at });
+        // Closed after the lock is released.
+        let _surplus = take_oldest(&mut idle, self.cfg.idle_max);
+        drop(idle);
+    }
+
+    /// Number of idle connections that can be used.
+    pub fn idle_connections(&self) -> usize {
+        let now = Instant::now();
+        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.iter().filter(|c| c.expires_at > now && !c.conn.tx.is_closed()).count()
+    }
+
+    /// Closes the oldest idle connections so that at most `keep` are left.
+    pub fn trim_idle(&self, keep: usize) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let _surplus = take_oldest(&mut idle, keep);
+        drop(idle);
     }
 
     /// Closes all idle connections. Once one connection has stopped responding, the others likely
@@ -260,12 +292,16 @@
         let _idle = std::mem::take(&mut *self.idle.lock().unwrap_or_else(PoisonError::into_inner));
     }
 
-    /// Takes an idle connection, with the time for which it was idle.
-    fn take_idle(&self) -> Option<(HttpConnection, Duration)> {
+    /// Takes a connection that has been idle for less than `idle_below`, with the time for which it was
+    /// idle.
+    fn take_idle(&self, idle_below: Duration) -> Option<(HttpConnection, Duration)> {
         let now = Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|c| c.expires_at > now && !c.conn.tx.is_closed());
-        let ready = idle.iter().rposition(|c| c.conn.tx.is_ready())?;
+        let usable = |c: &IdleConnection| {
+            c.conn.tx.is_ready() && now.saturating_duration_since(c.since) < idle_below
+        };
+        let ready = idle.iter().rposition(usable)?;
         let taken = idle.remove(ready);
         Some((taken.conn, now.saturating_duration_since(taken.since)))
     }
@@ -296,3 +332,9 @@
         Ok(HttpConnection { tx, responses: 0, broken, _io: io })
     }
 }
+
+/// Takes the oldest connections out of `idle`, so that at most `keep` are left.
+fn take_oldest(idle: &mut Vec<IdleConnection>, keep: usize) -> Vec<IdleConnection> {
+    let surplus = idle.len().saturating_sub(keep);
+    idle.drain(..surplus).collect()
+}
--- a/crates/net/tests/http_client.rs
+++ b/crates/net/tests/http_client.rs
@@ -107,3 +107,70 @@
     assert!(response.is_none(), "the connection was given up by the kernel: {response:?}");
     assert_eq!(pending_error(&stream, RESET_TIMEOUT), Some(ErrorKind::ConnectionReset));
 }
+
+/// Accepts connections and answers one request on each of them.
+fn answering_server(
+    listener: TcpListener,
+    connections: usize,
+) -> thread::JoinHandle<Vec<TcpStream>> {
+    thread::spawn(move || {
+        let accept = || {
+            let (mut stream, _) = listener.accept().unwrap();
+            answer_request(&mut stream);
+            stream
+        };
+        (0..connections).map(|_| accept()).collect()
+    })
+}
+
+fn get() -> Request<Full<Bytes>> {
+    Request::builder().uri("/").header("Host", "h").body(Full::default()).unwrap()
+}
+
+/// Opens `count` connections, and returns them to the pool.
+async fn open_idle(client: &HttpClient, count: usize) {
+    let mut open = Vec::new();
+    for _ in 0..count {
+        let (response, conn) = client.send(get(), true).await.unwrap();
+        response.into_body().collect().await.unwrap();
+        open.push(conn);
+    }
+    open.into_iter().for_each(|conn| client.put_idle(conn));
+}
+
+/// Guards against idle connections that take the descriptors of a gateway, or the connections that an
+/// endpoint accepts from all gateways together.
+#[test]
+fn surplus_idle_connections_are_closed_the_oldest_first() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let rt = Runtime::start(1);
+    let cfg = HttpClientSettings { idle_max: 3, ..owner_reset() };
+    let client = HttpClient::with_settings(&rt, listener.local_addr().unwrap(), cfg);
+    let server = answering_server(listener, 5);
+    async_io::block_on(open_idle(&client, 5));
+    let streams = server.join().unwrap();
+    assert_eq!(client.idle_connections(), 3);
+    client.trim_idle(1);
+    assert_eq!(client.idle_connections(), 1);
+    let closed: Vec<bool> =
+        streams.iter().map(|s| pending_error(s, RESET_TIMEOUT).is_some()).collect();
+    assert_eq!(closed, [true, true, true, true, false]);
+}
+
+/// Guards against a request on a connection that has been idle for so long that its path may have gone
+/// silent.
+#[test]
+fn connection_that_was_idle_for_longer_than_allowed_is_not_reused() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let rt = Runtime::start(1);
+    let client = HttpClient::with_settings(&rt, listener.local_addr().unwrap(), owner_reset());
+    let server = answering_server(listener, 2);
+    async_io::block_on(async {
+        open_idle(&client, 1).await;
+        thread::sleep(Duration::from_millis(50));
+        let (_, conn) = client.send_reusing(get(), Duration::from_millis(20)).await.unwrap();
+        assert!(conn.is_first_response());
+    });
+    assert_eq!(client.idle_connections(), 1);
+    drop(server.join().unwrap());
+}
