Core: reserves of admission apart for late requests

Cause: in the model of the tests one reserve for all classes left places empty. Change: late requests leave free what others take in 0.3 s, less urgent ones what more urgent ones take in 0.1 s.

--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -13,9 +13,11 @@
 pub struct AdmissionSettings {
     /// Urgencies of the service's requests, in ascending order; lower values are more urgent.
     pub urgencies: SmallVec<[u8; 4]>,
-    /// Time until a gateway learns what the others have sent; the places that more urgent requests take in
-    /// that time are kept free for them.
-    pub report_age: Duration,
+    /// The places that more urgent requests take in this time are kept free for them by requests that can
+    /// still meet their objective.
+    pub reserve: Duration,
+    /// The places that requests on time take in this time are kept free for them by late requests.
+    pub late_reserve: Duration,
     /// Share of its requests that each class is admitted at least, relative to the share of all.
     pub floor: f64,
 }
@@ -26,12 +28,16 @@
         let mut urgencies: SmallVec<[u8; 4]> = urgencies.into_iter().collect();
         urgencies.sort_unstable();
         urgencies.dedup();
-        Self { urgencies, report_age: REPORT_AGE, floor: FLOOR }
+        Self { urgencies, reserve: RESERVE, late_reserve: LATE_RESERVE, floor: FLOOR }
     }
 }
 
-/// Default of [`AdmissionSettings::report_age`]: load reports are 0.1 to 0.3 s old.
-const REPORT_AGE: Duration = Duration::from_millis(200);
+/// Default of [`AdmissionSettings::reserve`]: the age of the freshest load reports. In the model of the tests,
+/// twice that left places empty that less urgent requests could have used.
+const RESERVE: Duration = Duration::from_millis(100);
+/// Default of [`AdmissionSettings::late_reserve`]: the age of the oldest load reports, since a late request must
+/// not take the place of one that is on time.
+const LATE_RESERVE: Duration = Duration::from_millis(300);
 /// Largest share of the places that is kept free for more urgent requests.
 const RESERVE_MAX: f64 = 0.3;
 /// Default of [`AdmissionSettings::floor`]: twice the quarter below which callers count as starved.
@@ -143,7 +149,8 @@
         let ranks_ahead = if class.late { arrived.len() } else { usize::from(class.rank) };
         let ahead: f64 = arrived[..ranks_ahead].iter().sum();
         let own = if class.late { 0.0 } else { arrived.get(ranks_ahead).copied().unwrap_or(0.0) };
-        let taken = ahead / WINDOW.as_secs_f64() * self.cfg.report_age.as_secs_f64();
+        let time = if class.late { self.cfg.late_reserve } else { self.cfg.reserve };
+        let taken = ahead / WINDOW.as_secs_f64() * time.as_secs_f64();
         AdmissionLimit {
             ceiling: 1.0 - (taken / own_places.max(1.0)).min(RESERVE_MAX),
             part_factor: (all / (ahead + own).max(1.0)).clamp(1.0, PART_FACTOR_MAX),
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -1,11 +1,14 @@
 //! [`Pool`]: endpoint selection and queueing for one service in one gateway.
 
+mod connections;
+mod reach;
 mod selection;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -19,12 +22,14 @@
 use super::AdmissionSettings;
 use super::Ewma;
 use super::GatewaySet;
+use super::IdleConnections;
 use super::Limiter;
 use super::LimiterSettings;
 use super::Member;
 use super::MemberKey;
 use super::RankState;
 use super::RequestOutcome;
+use super::SharedReachability;
 use super::SlidingWindow;
 use super::Ticket;
 use super::queue::Demotion;
@@ -182,6 +187,8 @@
     /// When a request first found no endpoint that accepts work; `None` outside of an outage.
     outage_since: Option<Instant>,
     scan_offset: u32,
+    reachability: SharedReachability,
+    idle_connections: Option<Arc<dyn IdleConnections>>,
     rng: ChaCha8Rng,
     /// Random number from 0 to 1 that rounds this gateway's part of the free places, and when it was
     /// drawn.
@@ -209,6 +216,8 @@
             last_retry_at: None,
             outage_since: None,
             scan_offset: 0,
+            reachability: SharedReachability::default(),
+            idle_connections: None,
             rounding: (0.0, None),
         }
     }
@@ -285,6 +294,10 @@
     pub fn record_rank_state_by_key(&mut self, key: u64, state: RankState) {
         let member = self.by_address.get(&key).and_then(|k| self.members.get_mut(k));
         if let Some(m) = member {
+            if m.report_lags(state.observed_at) == Some(true) {
+                let domain = &m.registration.heartbeat.domain;
+                reach::lock(&self.reachability).record_reports_resumed(state.observed_at, domain);
+            }
             m.record_rank_state(state);
         }
     }
@@ -426,9 +439,8 @@
         if may_end_in_time || (req.is_caller_retry && now < place.deadline) {
             return self.enqueue(req, place);
         }
-        let until_end = outage_end.saturating_duration_since(now).max(RETRY_AFTER_OUTAGE);
-        let retry_after = if now < outage_end { until_end } else { req.return_time_max };
-        self.refuse(Code::NoEndpoint, retry_after.min(req.return_time_max))
+        // The last chance of a caller is best used late: most outages have ended by then, also long ones.
+        self.refuse(Code::NoEndpoint, req.return_time_max.max(RETRY_AFTER_MIN))
     }
 
     /// Where the request stands in the queue, and until when.
@@ -536,6 +548,7 @@
         held: Duration,
     ) -> Vec<QueueOutcome> {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.record_reachability(now, key, outcome, held);
         if let Some(m) = self.members.get_mut(&key) {
             m.record_outcome(now, outcome);
             let ended = self.by_id.get(&m.registration.heartbeat.id) != Some(&key);
