Control: load reports name the group of each endpoint

Cause: gateways know the loads of all endpoints, but not which of them run their passes together. Change: LoadBatch carries an index into a table of group keys for each endpoint; control instances fill it from RankLoad.group and log the key of each name once.

--- a/crates/control/src/soft_state.rs
+++ b/crates/control/src/soft_state.rs
@@ -1,6 +1,7 @@
 //! [`SoftState`]: the unreplicated state of a control instance and its subscribers.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
@@ -28,6 +29,8 @@
 const GATEWAYS_RETURN: Duration = Duration::from_secs(2);
 /// Interval between updates that list all gateways. Gateways that join are announced at once.
 const GATEWAYS_PERIOD: Duration = Duration::from_secs(60);
+/// Number of groups whose key is logged; names come from engines and could be without end.
+const GROUPS_LOGGED_MAX: usize = 256;
 /// Suspects kept for subscribers that connect later.
 const SUSPECTS_MAX: usize = 256;
 
@@ -44,6 +47,8 @@
     refreshed: Vec<EndpointBeat>,
     /// Newest load of each rank, by the key of its address, and whether subscribers know it.
     rank_loads: HashMap<u64, ObservedLoad>,
+    /// Groups whose key has been logged with their name.
+    groups_seen: HashSet<u64>,
     suspects: VecDeque<SuspectNotice>,
 }
 
@@ -52,6 +57,8 @@
 struct ObservedLoad {
     at: Instant,
     load: u32,
+    /// Key of the name of the rank's group.
+    group: u64,
     sent: bool,
 }
 
@@ -96,8 +103,18 @@
     pub(crate) fn record_rank_load(&mut self, now: Instant, load: &RankLoad) {
         let Ok(address) = load.address.parse() else { return };
         let requests = load.running.saturating_add(load.queued).min(u32::MAX / 2);
-        let load = ObservedLoad { at: now, load: requests * 2 + u32::from(load.open), sent: false };
-        self.rank_loads.insert(address_key(&address), load);
+        let (name, group) = (load.group.as_str(), group_key(&load.group));
+        let encoded = requests * 2 + u32::from(load.open);
+        if group != 0
+            && self.groups_seen.len() < GROUPS_LOGGED_MAX
+            && self.groups_seen.insert(group)
+        {
+            log::info!(group = name, key = format!("{group:016x}").as_str(); "group first reported");
+        }
+        self.rank_loads.insert(
+            address_key(&address),
+            ObservedLoad { at: now, load: encoded, group, sent: false },
+        );
     }
 
     /// Stores suspects reported by a gateway and broadcasts them.
@@ -206,15 +223,26 @@
     /// Encodes the loads that satisfy `include`, once for all subscribers.
     fn encode_rank_loads(&self, now: Instant, include: impl Fn(&ObservedLoad) -> bool) -> Bytes {
         let mut batch = LoadBatch::default();
+        let mut index_of = HashMap::new();
         for (key, load) in self.rank_loads.iter().filter(|(_, l)| include(l)) {
             batch.endpoints.push(*key);
             batch.loads.push(load.load);
             batch.ages_ms.push(now.saturating_duration_since(load.at).as_millis() as u32);
+            let index = *index_of.entry(load.group).or_insert_with(|| {
+                batch.group_keys.push(load.group);
+                batch.group_keys.len() as u32 - 1
+            });
+            batch.groups.push(index);
         }
         Bytes::from(batch.encode_to_vec())
     }
 }
 
+/// Key of a group's name in load reports; 0 for an endpoint without a group.
+fn group_key(name: &str) -> u64 {
+    if name.is_empty() { 0 } else { Digest::of(&[name.as_bytes()]).to_u64() }
+}
+
 /// Identity of a gateway among those that share limits.
 fn gateway_id(name: &str) -> u64 {
     Digest::of(&[name.as_bytes()]).to_u64()
