Core: limits and choice by rank group

Cause: one limiter and one sum of loads served all groups of a service. A slow group hid behind the mean, the places of a group that formed were given to the others, and one pass over the promised gap after a shift of expert popularity made all streams late. Event gaps are recorded with their endpoint. Gateways export gauges for each group. A service with one group takes the same path as before. Not measured on a deployment.

--- a/crates/core/src/dispatch/limiter.rs
+++ b/crates/core/src/dispatch/limiter.rs
@@ -78,12 +78,19 @@
 
     /// Number of streams that this gateway may have in flight.
     pub fn limit(&self, now: Instant) -> u32 {
+        self.limit_of_part(now, 1.0) as u32
+    }
+
+    /// Number of streams that this gateway may have in flight in one of `parts` groups, among which
+    /// its bounds are divided evenly.
+    pub fn limit_of_part(&self, now: Instant, parts: f64) -> f64 {
         let LimiterSettings { pass_target, pass_overhead, floor, ceiling, .. } = self.cfg;
-        let Some(pass) = self.mean_pass(now) else { return ceiling.min(floor * 2.0) as u32 };
+        let (floor, ceiling) = (floor / parts, ceiling / parts);
+        let Some(pass) = self.mean_pass(now) else { return ceiling.min(floor * 2.0) };
         let overhead = pass_overhead.as_secs_f64();
         let load_dependent = (pass.as_secs_f64() - overhead).max(overhead * 0.1);
         let ratio = (pass_target.as_secs_f64() - overhead).max(0.0) / load_dependent;
         let streams = self.in_flight.mean().unwrap_or(0.0);
-        (streams * ratio + PROBE_STREAMS * ratio.min(1.0)).clamp(floor, ceiling) as u32
+        (streams * ratio + PROBE_STREAMS * ratio.min(1.0)).clamp(floor, ceiling)
     }
 }
--- a/crates/core/src/dispatch/member.rs
+++ b/crates/core/src/dispatch/member.rs
@@ -45,6 +45,8 @@
     pub requests: u32,
     /// Time at which this state was observed.
     pub observed_at: Instant,
+    /// Key of the name of the rank's group; 0 if it is not known.
+    pub group: u64,
 }
 
 /// Change of an endpoint's load by a request of this gateway.
@@ -98,6 +100,8 @@
     pub key_hash: u64,
     /// Last report of the endpoint's agent.
     pub rank_state: Option<RankState>,
+    /// Key of the group in the last report that named one; 0 if none has.
+    group: u64,
     /// End of the current or last ejection.
     pub ejected_until: Option<Instant>,
     /// When no process of the endpoint was found at its address.
@@ -126,6 +130,7 @@
             unreported: VecDeque::new(),
             key_hash,
             rank_state: None,
+            group: 0,
             ejected_until: None,
             ended_at: None,
             leaving: false,
@@ -279,10 +284,17 @@
     pub fn record_rank_state(&mut self, state: RankState) {
         if self.rank_state.as_ref().is_none_or(|r| r.observed_at <= state.observed_at) {
             self.rank_state = Some(state);
+            // Instances of an older release name no groups.
+            self.group = if state.group == 0 { self.group } else { state.group };
             self.unreported.retain(|(at, _)| *at > state.observed_at);
         }
     }
 
+    /// Key of the group that the endpoint is a rank of; 0 if it is not known.
+    pub fn group(&self) -> u64 {
+        self.group
+    }
+
     /// Records a request sent to the endpoint.
     pub fn record_sent(&mut self, now: Instant, prompt_tokens: u32) {
         self.in_flight += 1;
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -15,10 +15,13 @@
 
 use super::Ewma;
 use super::GatewaySet;
+use super::GroupView;
+use super::Groups;
 use super::Limiter;
 use super::LimiterSettings;
 use super::Member;
 use super::MemberKey;
+use super::PassModel;
 use super::RankState;
 use super::RequestOutcome;
 use super::SlidingWindow;
@@ -37,6 +40,8 @@
     pub domain: String,
     /// Limiter of streams in flight; `None` for a service without model engines.
     pub limiter: Option<LimiterSettings>,
+    /// Figures from which limits of single groups are derived; `None` without model engines.
+    pub pass_model: Option<PassModel>,
     /// Retry budget: retries allowed per first attempt.
     pub retry_ratio: f64,
     /// Window over which first attempts and retries are counted.
@@ -58,6 +63,7 @@
         Self {
             domain: String::new(),
             limiter: None,
+            pass_model: None,
             retry_ratio: 0.2,
             retry_span: Duration::from_secs(10),
             retry_slack: 80.0,
@@ -151,6 +157,7 @@
     next_key: u32,
     evacuated: BTreeSet<String>,
     limiter: Option<Limiter>,
+    groups: Groups,
     in_flight: u32,
     queue: WaitQueue,
     hold_ms: Ewma,
@@ -170,7 +177,10 @@
 impl Pool {
     /// Creates a pool without members.
     pub fn new(cfg: PoolSettings) -> Self {
+        let mut groups = Groups::default();
+        groups.configure(cfg.limiter.unwrap_or_default(), cfg.pass_model.clone());
         Self {
+            groups,
             limiter: cfg.limiter.map(Limiter::new),
             first_attempts: SlidingWindow::new(cfg.retry_span),
             retries: SlidingWindow::new(cfg.retry_span),
@@ -199,6 +209,7 @@
         if self.cfg.limiter != cfg.limiter {
             self.limiter = cfg.limiter.map(Limiter::new);
         }
+        self.groups.configure(cfg.limiter.unwrap_or_default(), cfg.pass_model.clone());
         self.cfg = cfg;
     }
 
@@ -258,6 +269,7 @@
         let member = self.by_address.get(&key).and_then(|k| self.members.get_mut(k));
         if let Some(m) = member {
             m.record_rank_state(state);
+            self.groups.observe(state.observed_at, state.group);
         }
     }
 
@@ -320,6 +332,9 @@
 
     /// Maximum number of requests that this gateway may have in flight.
     pub fn limit(&self, now: Instant) -> u32 {
+        if self.has_groups() {
+            return self.groups.limit(now);
+        }
         self.limiter.as_ref().map_or(u32::MAX, |l| l.limit(now))
     }
 
@@ -328,6 +343,25 @@
         self.limiter.as_ref().and_then(|l| l.mean_pass(now))
     }
 
+    /// Whether the service has several groups with limits of their own.
+    pub fn has_groups(&self) -> bool {
+        self.limiter.is_some() && self.groups.is_split()
+    }
+
+    /// What is known about each group; empty if there are not several.
+    pub fn group_views(&mut self, now: Instant) -> Vec<GroupView> {
+        if !self.has_groups() {
+            return Vec::new();
+        }
+        self.scan_groups(now);
+        self.groups.views(now).collect()
+    }
+
+    /// Endpoints visited so far to tell groups apart.
+    pub fn group_visits(&self) -> u64 {
+        self.groups.visits()
+    }
+
     // ------------------------------------------------------------------------------------------
     // Requests
 
@@ -394,8 +428,16 @@
         }
     }
 
-    /// Records the gap between two events of a stream.
-    pub fn record_event_gap(&mut self, now: Instant, gap: Duration) {
+    /// Records the gap between two events of a stream at a member.
+    pub fn record_event_gap(&mut self, now: Instant, key: MemberKey, gap: Duration) {
+        if self.has_groups()
+            && let Some(group) = self.members.get(&key).map(Member::group)
+        {
+            if self.groups.is_outdated(now) {
+                self.scan_groups(now);
+            }
+            self.groups.record_gap(now, group, key, gap);
+        }
         if let Some(l) = &mut self.limiter {
             l.record_gap(now, gap, self.in_flight);
         }
--- a/crates/core/src/dispatch/pool/selection.rs
+++ b/crates/core/src/dispatch/pool/selection.rs
@@ -47,14 +47,22 @@
         prompt_tokens: u32,
         tried: &[MemberKey],
     ) -> Option<MemberKey> {
-        if self.in_flight >= self.limit(now) {
-            return None;
-        }
-        let fleet =
-            if self.limiter.is_some() { self.fleet_load(now) } else { FleetLoad::default() };
-        if self.streams_at_limit(now, &fleet) {
-            return None;
-        }
+        let split = self.has_groups();
+        let fleet = if split {
+            self.scan_groups(now);
+            let (requests, age_s) = self.groups.open_load();
+            FleetLoad { requests, age_s, ..FleetLoad::default() }
+        } else {
+            if self.in_flight >= self.limit(now) {
+                return None;
+            }
+            let fleet =
+                if self.limiter.is_some() { self.fleet_load(now) } else { FleetLoad::default() };
+            if self.streams_at_limit(now, &fleet) {
+                return None;
+            }
+            fleet
+        };
         self.scan_offset = self.scan_offset.wrapping_add(1);
         let keys: SmallVec<[MemberKey; 32]> = self.members.keys().copied().collect();
         let start = self.scan_offset as usize;
@@ -66,10 +74,11 @@
             let eligible = m.is_available(now) && self.in_service(m) && !tried.contains(&key);
             let has_room = m.load(now) < m.registration.heartbeat.slots.max(1)
                 && m.in_flight < self.connection_share(m);
-            if !eligible || !has_room {
+            if !eligible || !has_room || (split && !self.groups.accepts(m.group())) {
                 continue;
             }
-            let score = self.score(now, m, prompt_tokens);
+            let group_factor = if split { self.groups.load_factor(m.group()) } else { 1.0 };
+            let score = self.score(now, m, prompt_tokens) * group_factor;
             let age_s = m.report_age(now).map_or(fleet.age_s, |age| age.as_secs_f64());
             let cold_share = if m.is_rate_limited(now) { self.cold_share(m) } else { u32::MAX };
             if self.members.get_mut(&key).is_some_and(|m| m.cold_limit_allows(now, cold_share)) {
@@ -89,6 +98,12 @@
         Some(candidates[index].0)
     }
 
+    /// Sums up the loads of the groups and decides which of them get requests.
+    pub(super) fn scan_groups(&mut self, now: Instant) {
+        let gateways = self.cfg.gateways.known();
+        self.groups.scan(now, self.members.values(), gateways, &mut self.rng);
+    }
+
     /// This gateway's part of the requests per second that a cold endpoint may get.
     fn cold_share(&self, m: &Member) -> u32 {
         self.cfg.gateways.share(m.key_hash, self.cfg.cold_per_s.max(1.0) as u32)
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -78,7 +78,7 @@
 }
 
 fn rank_state(observed_at: Instant, running: u32, open: bool) -> RankState {
-    RankState { open, requests: running, observed_at }
+    RankState { open, requests: running, observed_at, group: 0 }
 }
 
 #[test]
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -213,12 +213,14 @@
     let loads = batch.endpoints.iter().zip(&batch.loads).zip(&batch.ages_ms);
     for pool in gateway.all_pools() {
         pool.with_pool(|pool| {
-            for ((key, load), age_ms) in loads.clone() {
+            for (i, ((key, load), age_ms)) in loads.clone().enumerate() {
+                let group = batch.groups.get(i).and_then(|g| batch.group_keys.get(*g as usize));
                 let age = Duration::from_millis(u64::from(*age_ms));
                 let state = RankState {
                     open: load % 2 == 1,
                     requests: load / 2,
                     observed_at: now.checked_sub(age).unwrap_or(now),
+                    group: group.copied().unwrap_or(0),
                 };
                 pool.record_rank_state_by_key(*key, state);
             }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use crocustally_core::dispatch::CrashTracker;
 use crocustally_core::dispatch::GatewaySet;
 use crocustally_core::dispatch::LimiterSettings;
+use crocustally_core::dispatch::PassModel;
 use crocustally_core::dispatch::PoolSettings;
 use crocustally_core::fleet::Registry;
 use crocustally_core::traffic::Route;
@@ -46,6 +47,7 @@
 use crate::feed;
 use crate::followed_controls::FollowedControls;
 use crate::frontend;
+use crate::group_metrics;
 use crate::policy_fetch;
 use crate::slots::SlotPool;
 
@@ -180,6 +182,7 @@
         feed::follow_seeds(&gateway, &gateway.cfg.controls);
         rt.spawn(policy_fetch::keep_policy_current(gateway.clone()));
         rt.spawn(endpoint_ends::report_loop(gateway.clone()));
+        rt.spawn(group_metrics::report_loop(gateway.clone()));
         let limits = HttpLimits {
             header_timeout: IDLE_TIMEOUT,
             header_bytes: 64 * 1024,
@@ -340,9 +343,16 @@
             ),
             ..LimiterSettings::default()
         });
+        let pass_model = service.engine.as_ref().map(|e| PassModel {
+            engine: e.clone(),
+            prompt_tokens: PREFILLS_PER_PASS * f64::from(e.mean_prompt_tokens),
+            gap_max: gap,
+            skew: POPULARITY_SHIFT_SKEW,
+        });
         PoolSettings {
             domain: self.cfg.domain.clone(),
             limiter,
+            pass_model,
             retry_ratio: self.cfg.retry_ratio,
             retry_span: self.cfg.retry_span,
             retry_slack: self.cfg.retry_slack,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod followed_controls;
 mod frontend;
 mod gateway;
+mod group_metrics;
 mod policy_fetch;
 mod settings;
 mod slots;
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -113,7 +113,7 @@
     pub(crate) fn record_event_gap(&self, gap: Duration) {
         let now = self.slot_pool.clock.now();
         let mut inner = self.slot_pool.lock();
-        inner.pool.record_event_gap(now, gap);
+        inner.pool.record_event_gap(now, self.key, gap);
         if !inner.waiters.is_empty() {
             let outcomes = inner.pool.tick(now);
             inner.deliver_outcomes(now, outcomes);
