--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -22,11 +22,14 @@
 use super::AdmissionSettings;
 use super::Ewma;
 use super::GatewaySet;
+use super::GroupView;
+use super::Groups;
 use super::IdleConnections;
 use super::Limiter;
 use super::LimiterSettings;
 use super::Member;
 use super::MemberKey;
+use super::PassModel;
 use super::RankState;
 use super::RequestOutcome;
 use super::SharedReachability;
@@ -48,9 +51,11 @@
     pub domain: String,
     /// Limiter of streams in flight; `None` for a service without model engines.
     pub limiter: Option<LimiterSettings>,
-    /// Admission by urgency, in which late requests wait behind those on time; `None` for a service whose
-    /// requests are all equally urgent.
+    /// Admission by urgency, in which late requests wait behind those on time. It is in force if requests are not
+    /// all equally urgent, or if the engines form several groups; `None` without model engines.
     pub admission: Option<AdmissionSettings>,
+    /// Figures from which limits of single groups are derived; `None` without model engines.
+    pub pass_model: Option<PassModel>,
     /// Retry budget: retries allowed per first attempt.
     pub retry_ratio: f64,
     /// Window over which first attempts and retries are counted.
@@ -73,6 +78,7 @@
             domain: String::new(),
             limiter: None,
             admission: None,
+            pass_model: None,
             retry_ratio: 0.2,
             retry_span: Duration::from_secs(10),
             retry_slack: 80.0,
@@ -177,6 +183,7 @@
     evacuated: BTreeSet<String>,
     limiter: Option<Limiter>,
     admission: Option<Admission>,
+    groups: Groups,
     in_flight: u32,
     queue: WaitQueue,
     hold_ms: Ewma,
@@ -198,7 +205,10 @@
 impl Pool {
     /// Creates a pool without members.
     pub fn new(cfg: PoolSettings) -> Self {
+        let mut groups = Groups::default();
+        groups.configure(cfg.limiter.unwrap_or_default(), cfg.pass_model.clone());
         Self {
+            groups,
             limiter: cfg.limiter.map(Limiter::new),
             admission: cfg.admission.clone().map(Admission::new),
             first_attempts: SlidingWindow::new(cfg.retry_span),
@@ -235,6 +245,7 @@
         if admission_changed {
             self.admission = cfg.admission.clone().map(Admission::new);
         }
+        self.groups.configure(cfg.limiter.unwrap_or_default(), cfg.pass_model.clone());
         self.cfg = cfg;
         admission_changed
     }
@@ -299,6 +310,7 @@
                 reach::lock(&self.reachability).record_reports_resumed(state.observed_at, domain);
             }
             m.record_rank_state(state);
+            self.groups.observe(state.observed_at, state.group);
         }
     }
 
@@ -351,7 +363,8 @@
 
     /// Whether late requests wait behind those on time, and the most urgent are admitted first.
     pub fn admits_by_urgency(&self) -> bool {
-        self.admission.is_some()
+        let urgencies = self.admission.as_ref().map_or(0, |a| a.settings().urgencies.len());
+        urgencies > 1 || (urgencies > 0 && self.has_groups())
     }
 
     /// Requests of this gateway in flight.
@@ -366,6 +379,9 @@
 
     /// Maximum number of requests that this gateway may have in flight.
     pub fn limit(&self, now: Instant) -> u32 {
+        if self.has_groups() {
+            return self.groups.limit(now);
+        }
         self.limiter.as_ref().map_or(u32::MAX, |l| l.limit(now))
     }
 
@@ -374,6 +390,25 @@
         self.limiter.as_ref().and_then(|l| l.mean_pass(now))
     }
 
+    /// Whether the service has several groups with limits of their own.
+    pub fn has_groups(&self) -> bool {
+        self.limiter.is_some() && self.groups.is_split()
+    }
+
+    /// What is known about each group; empty if there are not several.
+    pub fn group_views(&mut self, now: Instant) -> Vec<GroupView> {
+        if !self.has_groups() {
+            return Vec::new();
+        }
+        self.scan_groups(now, AdmissionLimit::default());
+        self.groups.views(now).collect()
+    }
+
+    /// Endpoints visited so far to tell groups apart.
+    pub fn group_visits(&self) -> u64 {
+        self.groups.visits()
+    }
+
     // ------------------------------------------------------------------------------------------
     // Requests
 
@@ -429,7 +464,7 @@
         let outage_start = *self.outage_since.get_or_insert(now);
         let outage_end = outage_start + OUTAGE_EXPECTED;
         let may_end_in_time = now < outage_end && req.outage_deadline >= outage_end;
-        if self.admission.is_none() {
+        if place.class.is_none() {
             if !may_end_in_time {
                 return self.refuse(Code::NoEndpoint, RETRY_AFTER_OUTAGE);
             }
@@ -445,7 +480,7 @@
 
     /// Where the request stands in the queue, and until when.
     fn queue_place(&self, now: Instant, req: &DispatchRequest) -> QueuePlace {
-        let Some(admission) = &self.admission else {
+        let Some(admission) = self.admission.as_ref().filter(|_| self.admits_by_urgency()) else {
             let priority =
                 req.urgency.saturating_mul(2).saturating_add(u8::from(req.is_caller_retry));
             return QueuePlace {
@@ -532,8 +567,16 @@
         }
     }
 
-    /// Records the gap between two events of a stream.
-    pub fn record_event_gap(&mut self, now: Instant, gap: Duration) {
+    /// Records the gap between two events of a stream at a member.
+    pub fn record_event_gap(&mut self, now: Instant, key: MemberKey, gap: Duration) {
+        if self.has_groups()
+            && let Some(group) = self.members.get(&key).map(Member::group)
+        {
+            if self.groups.is_outdated(now) {
+                self.scan_groups(now, AdmissionLimit::default());
+            }
+            self.groups.record_gap(now, group, key, gap);
+        }
         if let Some(l) = &mut self.limiter {
             l.record_gap(now, gap, self.in_flight);
         }
