--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -190,7 +190,8 @@
                 let observed_at = self.now - REPORT_AGE;
                 for pool in &mut self.pools {
                     for (n, load) in self.loads.iter().enumerate() {
-                        let state = RankState { open: true, requests: *load, observed_at };
+                        let state =
+                            RankState { open: true, requests: *load, group: 0, observed_at };
                         pool.record_rank_state(address(n as u8), state);
                     }
                 }
@@ -340,6 +341,6 @@
         assert!(ceiling <= before && ceiling >= 0.7, "urgency {urgency}: {ceiling}");
         before = ceiling;
     }
-    let late = admission.class(0);
+    let late = admission.class(0, true);
     assert!(admission.limit(now, late, 30.0).ceiling <= before);
 }
--- a/crates/core/tests/connections.rs
+++ b/crates/core/tests/connections.rs
@@ -160,7 +160,8 @@
                 tables[g].put(address(e), now + self.idle_time);
             }
             for e in (0..self.engines).filter(|e| (ms as usize + e * 37).is_multiple_of(100)) {
-                let state = RankState { open: true, requests: loads[e], observed_at: now };
+                let state =
+                    RankState { open: true, requests: loads[e], group: 0, observed_at: now };
                 delayed.push_back((now + 100 * MS, e, state));
             }
             while let Some((_, e, state)) = delayed.pop_front_if(|(at, ..)| *at <= now) {
--- a/crates/core/tests/reachability.rs
+++ b/crates/core/tests/reachability.rs
@@ -82,7 +82,10 @@
 }
 
 fn report(pool: &mut Pool, n: u8, observed_at: Instant) {
-    pool.record_rank_state(address(n), RankState { open: true, requests: 1, observed_at });
+    pool.record_rank_state(
+        address(n),
+        RankState { open: true, requests: 1, group: 0, observed_at },
+    );
 }
 
 /// Requests of a gateway over time, while no endpoint of the domains `cut` responds and connections
