Core: count KV memory of requests at each engine

An engine ends if its requests exceed its KV memory, and the policy's kv-capacity was not read.

A request reserves its prompt and expected response at its engine from send to end; requests of other gateways count by the reported load. An engine is chosen only up to 0.9 of its capacity, unless it is empty, and a request that fits no empty engine is refused at once.

Tests with simulated time: core/tests/connections.rs.

--- a/crates/core/src/dispatch/member.rs
+++ b/crates/core/src/dispatch/member.rs
@@ -7,6 +7,7 @@
 
 use super::Ewma;
 use super::SlidingWindow;
+use super::kv_memory::KvReservations;
 use crate::Digest;
 use crate::fleet::HeartbeatState;
 use crate::fleet::Registration;
@@ -116,6 +117,7 @@
     ejections: u32,
     cold_until: Option<Instant>,
     recent_sends: SlidingWindow,
+    kv: KvReservations,
 }
 
 impl Member {
@@ -139,6 +141,7 @@
             consecutive_failures: 0,
             ejections: 0,
             recent_sends: SlidingWindow::new(COLD_WINDOW),
+            kv: KvReservations::default(),
         }
     }
 
@@ -302,6 +305,21 @@
         self.recent_sends.add(now);
     }
 
+    /// Records the KV memory that a request sent to the endpoint is expected to hold.
+    pub fn reserve_kv(&mut self, tokens: u32) {
+        self.kv.reserve(tokens);
+    }
+
+    /// Releases the KV memory of a request that has ended; of the oldest one if its tokens are not known.
+    pub fn release_kv(&mut self, tokens: Option<u32>) {
+        self.kv.release(tokens);
+    }
+
+    /// KV memory that this gateway's requests at the endpoint are expected to hold, in tokens.
+    pub fn kv_tokens(&self) -> u64 {
+        self.kv.total()
+    }
+
     /// Records that a response started, `latency` after the request was sent.
     pub fn record_first_byte(&mut self, now: Instant, prompt_tokens: u32, latency: Duration) {
         self.pending_prompt_tokens =
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -1,6 +1,7 @@
 //! [`Pool`]: endpoint selection and queueing for one service in one gateway.
 
 mod connections;
+mod kv;
 mod reach;
 mod selection;
 
@@ -19,6 +20,7 @@
 use super::Ewma;
 use super::GatewaySet;
 use super::IdleConnections;
+use super::KvSettings;
 use super::Limiter;
 use super::LimiterSettings;
 use super::Member;
@@ -54,6 +56,8 @@
     pub gateways: GatewaySet,
     /// Connections that one endpoint accepts, summed over all gateways.
     pub connections_max: u32,
+    /// KV memory of the engines; `None` if it is not limited.
+    pub kv: Option<KvSettings>,
     /// Seed of the random endpoint choice; must differ between gateways.
     pub seed: u64,
 }
@@ -69,6 +73,7 @@
             cold_per_s: 5.0,
             gateways: GatewaySet::new(0, 1..4, true),
             connections_max: 256,
+            kv: None,
             seed: 0,
         }
     }
@@ -81,6 +86,8 @@
     pub priority: u8,
     /// Length of the prompt in tokens; 0 for services without model engines.
     pub prompt_tokens: u32,
+    /// Maximum length of the response in tokens; 0 if the request sets none.
+    pub max_response_tokens: u32,
     /// Latest time at which the request may be sent; after that it is refused.
     pub queue_deadline: Instant,
     /// Latest time at which the request may be sent if no endpoint accepts work. Such outages are
@@ -159,6 +166,8 @@
     in_flight: u32,
     queue: WaitQueue,
     hold_ms: Ewma,
+    /// Mean KV memory of this gateway's requests, in tokens.
+    kv_need: Ewma,
     first_attempts: SlidingWindow,
     retries: SlidingWindow,
     /// Latest time at which a refused caller was told to retry.
@@ -191,6 +200,7 @@
             in_flight: 0,
             queue: WaitQueue::default(),
             hold_ms: Ewma::default(),
+            kv_need: Ewma::default(),
             last_retry_at: None,
             outage_since: None,
             scan_offset: 0,
@@ -352,9 +362,15 @@
             EarlierSends::Arrived if self.may_retry(now) => {}
             EarlierSends::Arrived => return self.refuse(Code::RetryBudgetSpent, RETRY_AFTER_MIN),
         }
+        let kv_tokens = self.kv_need(req);
+        if self.exceeds_kv(kv_tokens) {
+            return self.refuse(Code::Overloaded, RETRY_AFTER_MAX);
+        }
         let none_ahead = self.queue.ahead(req.priority) == 0;
-        if none_ahead && let Some(key) = self.choose_member(now, req.prompt_tokens, &req.tried) {
-            self.assign(now, key, req.prompt_tokens, req.earlier);
+        if none_ahead
+            && let Some(key) = self.choose_member(now, req.prompt_tokens, kv_tokens, &req.tried)
+        {
+            self.assign(now, key, (req.prompt_tokens, kv_tokens), req.earlier);
             return DispatchDecision::Send(key);
         }
         if let Some(refusal) = self.pushback(now) {
@@ -383,6 +399,7 @@
             priority: req.priority,
             deadline,
             prompt_tokens: req.prompt_tokens,
+            kv_tokens: self.kv_need(req),
             retry_after: RETRY_AFTER_MIN,
             tried: req.tried.clone(),
             earlier: req.earlier,
@@ -414,18 +431,32 @@
         }
     }
 
-    /// Releases a slot that was held for `held`, and serves the queue.
+    /// Releases a slot that was held for `held`, and serves the queue. Of the reservations of KV memory
+    /// at the member, the oldest one ends.
     pub fn complete(
         &mut self,
         now: Instant,
         key: MemberKey,
         outcome: RequestOutcome,
         held: Duration,
+    ) -> Vec<QueueOutcome> {
+        self.complete_with_kv(now, key, outcome, held, None)
+    }
+
+    /// As [`complete`](Self::complete), for a request whose need of KV memory is known.
+    pub fn complete_with_kv(
+        &mut self,
+        now: Instant,
+        key: MemberKey,
+        outcome: RequestOutcome,
+        held: Duration,
+        kv_tokens: Option<u32>,
     ) -> Vec<QueueOutcome> {
         self.in_flight = self.in_flight.saturating_sub(1);
         self.record_reachability(now, key, outcome, held);
         if let Some(m) = self.members.get_mut(&key) {
             m.record_outcome(now, outcome);
+            m.release_kv(kv_tokens);
             let ended = self.by_id.get(&m.registration.heartbeat.id) != Some(&key);
             if ended {
                 self.drop_ended_incarnations();
@@ -452,11 +483,12 @@
         loop {
             // Moved out of `self`, because `choose_member` borrows all of it mutably.
             let mut queue = std::mem::take(&mut self.queue);
-            let next =
-                queue.pop_first_placeable(|w| self.choose_member(now, w.prompt_tokens, &w.tried));
+            let next = queue.pop_first_placeable(|w| {
+                self.choose_member(now, w.prompt_tokens, w.kv_tokens, &w.tried)
+            });
             self.queue = queue;
             let Some((w, key)) = next else { return outcomes };
-            self.assign(now, key, w.prompt_tokens, w.earlier);
+            self.assign(now, key, (w.prompt_tokens, w.kv_tokens), w.earlier);
             outcomes.push((w.ticket, Ok(key)));
         }
     }
@@ -473,7 +505,9 @@
         self.any_available(now, tried) && self.may_retry(now)
     }
 
-    fn assign(&mut self, now: Instant, key: MemberKey, prompt_tokens: u32, earlier: EarlierSends) {
+    /// Reserves a slot and KV memory; `tokens` are those of the prompt and of the need of KV memory.
+    fn assign(&mut self, now: Instant, key: MemberKey, tokens: (u32, u32), earlier: EarlierSends) {
+        let (prompt_tokens, kv_tokens) = tokens;
         self.in_flight += 1;
         self.outage_since = None;
         if earlier == EarlierSends::Arrived {
@@ -481,7 +515,9 @@
         }
         if let Some(m) = self.members.get_mut(&key) {
             m.record_sent(now, prompt_tokens);
+            m.reserve_kv(kv_tokens);
         }
+        self.kv_need.add(now, f64::from(kv_tokens), HOLD_TIME_CONSTANT);
     }
 
     fn refuse(&self, code: Code, retry_after: Duration) -> DispatchDecision {
--- a/crates/core/src/dispatch/pool/selection.rs
+++ b/crates/core/src/dispatch/pool/selection.rs
@@ -46,6 +46,7 @@
         &mut self,
         now: Instant,
         prompt_tokens: u32,
+        kv_tokens: u32,
         tried: &[MemberKey],
     ) -> Option<MemberKey> {
         if self.in_flight >= self.limit(now) {
@@ -69,7 +70,8 @@
             let Some(m) = self.members.get(&key) else { continue };
             let eligible = m.is_available(now) && self.in_service(m) && !tried.contains(&key);
             let has_room = m.load(now) < m.registration.heartbeat.slots.max(1)
-                && m.in_flight < self.connection_share(m);
+                && m.in_flight < self.connection_share(m)
+                && self.fits_kv(now, m, kv_tokens);
             if !eligible || !has_room {
                 continue;
             }
--- a/crates/core/src/dispatch/queue.rs
+++ b/crates/core/src/dispatch/queue.rs
@@ -21,6 +21,7 @@
     /// Time at which the request is refused if it is still queued.
     pub(super) deadline: Instant,
     pub(super) prompt_tokens: u32,
+    pub(super) kv_tokens: u32,
     pub(super) retry_after: Duration,
     pub(super) tried: SmallVec<[MemberKey; 2]>,
     pub(super) earlier: EarlierSends,
--- a/crates/core/src/traffic/engine.rs
+++ b/crates/core/src/traffic/engine.rs
@@ -33,6 +33,8 @@
     pub expert_share: f64,
     /// Time to copy one expert to a rank.
     pub expert_copy_time: Duration,
+    /// Tokens that the KV memory of the engine holds; 0 if it is not limited.
+    pub kv_capacity_tokens: u64,
 }
 
 /// Longest time of a step or a copy that can be meant.
--- a/crates/core/tests/connections.rs
+++ b/crates/core/tests/connections.rs
@@ -8,11 +8,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crocustally_core::Code;
 use crocustally_core::dispatch::DispatchDecision;
 use crocustally_core::dispatch::DispatchRequest;
 use crocustally_core::dispatch::EarlierSends;
 use crocustally_core::dispatch::GatewaySet;
 use crocustally_core::dispatch::IdleConnections;
+use crocustally_core::dispatch::KvSettings;
 use crocustally_core::dispatch::LimiterSettings;
 use crocustally_core::dispatch::MemberKey;
 use crocustally_core::dispatch::Pool;
@@ -55,6 +57,7 @@
     DispatchRequest {
         priority: 0,
         prompt_tokens: 800,
+        max_response_tokens: 0,
         queue_deadline: now,
         outage_deadline: now,
         tried: Default::default(),
@@ -246,3 +249,73 @@
         assert!(total >= limit as usize / 2, "{total} connections");
     }
 }
+
+/// Engines with KV memory for ten usual requests of 1,000 tokens.
+const KV: KvSettings =
+    KvSettings { capacity_tokens: 10_000, mean_prompt_tokens: 800, mean_response_tokens: 200 };
+
+fn engine_pool(now: Instant, engines: usize, gateways: u64) -> Pool {
+    let mut pool = Pool::new(PoolSettings {
+        limiter: Some(LimiterSettings { floor: 100.0, ..LimiterSettings::default() }),
+        gateways: GatewaySet::new(0, 0..gateways, true),
+        kv: Some(KV),
+        ..PoolSettings::default()
+    });
+    (0..engines).for_each(|e| pool.update_registration(&registration(now, e)));
+    pool
+}
+
+/// Guards against engines that end because their requests exceed their KV memory: few long prompts do,
+/// while slots are free.
+#[test]
+fn long_prompts_fill_no_engine_beyond_its_kv_memory() {
+    let now = Instant::now();
+    let mut pool = engine_pool(now, 3, 1);
+    let long = DispatchRequest { prompt_tokens: 4000, max_response_tokens: 4096, ..request(now) };
+    let mut sent = Vec::new();
+    while let DispatchDecision::Send(key) = pool.dispatch(now, &long) {
+        sent.push(key);
+    }
+    // 4,000 tokens of the prompt and twice the mean response, of 9,000 usable ones.
+    assert_eq!(sent.len(), 6);
+    assert!(pool.members().all(|(_, m)| m.kv_tokens() == 8800));
+    // The place of one that ends goes to the next.
+    let need = Some(pool.kv_need(&long));
+    let _ = pool.complete_with_kv(now, sent[0], RequestOutcome::Whole, MS, need);
+    assert_eq!(pool.dispatch(now, &long), DispatchDecision::Send(sent[0]));
+}
+
+/// Guards against counting this gateway's requests only: those of other gateways are known by the
+/// reported load.
+#[test]
+fn requests_of_other_gateways_count_against_the_kv_memory() {
+    let now = Instant::now();
+    let mut pool = engine_pool(now, 1, 4);
+    pool.record_rank_state(address(0), RankState { open: true, requests: 6, observed_at: now });
+    let long = DispatchRequest { prompt_tokens: 2600, ..request(now) };
+    assert!(matches!(pool.dispatch(now, &long), DispatchDecision::Send(_)));
+    assert!(!matches!(pool.dispatch(now, &long), DispatchDecision::Send(_)));
+    let usual = DispatchRequest { prompt_tokens: 0, ..request(now) };
+    pool.record_rank_state(
+        address(0),
+        RankState { open: true, requests: 1, observed_at: now + MS },
+    );
+    assert!(matches!(pool.dispatch(now + MS, &usual), DispatchDecision::Send(_)));
+}
+
+/// Guards against a request that waits in vain, or ends the engine: no engine can hold it.
+#[test]
+fn request_larger_than_the_kv_memory_is_refused_at_once() {
+    let now = Instant::now();
+    let mut pool = engine_pool(now, 3, 1);
+    let huge =
+        DispatchRequest { prompt_tokens: 9900, queue_deadline: now + 500 * MS, ..request(now) };
+    let decision = pool.dispatch(now, &huge);
+    assert!(
+        matches!(decision, DispatchDecision::Refuse(r) if r.code == Code::Overloaded),
+        "{decision:?}"
+    );
+    // One that only an empty engine can hold is sent to such a one.
+    let large = DispatchRequest { prompt_tokens: 9700, ..request(now) };
+    assert!(matches!(pool.dispatch(now, &large), DispatchDecision::Send(_)));
+}
--- a/crates/core/tests/moves.rs
+++ b/crates/core/tests/moves.rs
@@ -122,6 +122,7 @@
         new_experts_per_set_max: 2,
         expert_share: 0.85,
         expert_copy_time: Duration::from_millis(76),
+        kv_capacity_tokens: 0,
     }
 }
 
--- a/crates/core/tests/reachability.rs
+++ b/crates/core/tests/reachability.rs
@@ -59,6 +59,7 @@
     DispatchRequest {
         priority: 0,
         prompt_tokens: 0,
+        max_response_tokens: 0,
         queue_deadline: now + 150 * MS,
         outage_deadline: now,
         tried: Default::default(),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -154,6 +154,7 @@
         let req = DispatchRequest {
             priority: 2 * self.priority + u8::from(self.is_caller_retry()),
             prompt_tokens: self.meta.prompt_tokens,
+            max_response_tokens: self.meta.max_response_tokens,
             queue_deadline: self.queue_deadline().min(self.deadline),
             outage_deadline: self.outage_deadline(),
             tried: self.tried.clone(),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use crocustally_core::control::PartFilter;
 use crocustally_core::dispatch::CrashTracker;
 use crocustally_core::dispatch::GatewaySet;
+use crocustally_core::dispatch::KvSettings;
 use crocustally_core::dispatch::LimiterSettings;
 use crocustally_core::dispatch::PoolSettings;
 use crocustally_core::dispatch::SharedReachability;
@@ -342,7 +343,13 @@
             ),
             ..LimiterSettings::default()
         });
+        let kv = service.engine.as_ref().filter(|e| e.kv_capacity_tokens > 0).map(|e| KvSettings {
+            capacity_tokens: e.kv_capacity_tokens,
+            mean_prompt_tokens: e.mean_prompt_tokens,
+            mean_response_tokens: e.mean_response_tokens,
+        });
         PoolSettings {
+            kv,
             domain: self.cfg.domain.clone(),
             limiter,
             retry_ratio: self.cfg.retry_ratio,
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -48,6 +48,7 @@
     pub(crate) address: SocketAddr,
     pub(crate) sent_at: Instant,
     prompt_tokens: u32,
+    kv_tokens: u32,
     response_started_at: Option<Instant>,
     /// When the request was sent or the last event arrived.
     last_active_at: Instant,
@@ -145,7 +146,10 @@
         // Without a response start, the pool would keep counting the prompt as waiting.
         self.start_response(now);
         let held = now.saturating_duration_since(self.sent_at);
-        self.slot_pool.update_pool(now, |pool| pool.complete(now, self.key, outcome, held));
+        let kv_tokens = Some(self.kv_tokens);
+        self.slot_pool.update_pool(now, |pool| {
+            pool.complete_with_kv(now, self.key, outcome, held, kv_tokens)
+        });
     }
 }
 
@@ -229,7 +233,7 @@
             let mut inner = self.lock();
             match inner.pool.dispatch(self.clock.now(), req) {
                 DispatchDecision::Send(key) => {
-                    return self.grant_slot(&inner, key, req.prompt_tokens);
+                    return self.grant_slot(&inner, key, req);
                 }
                 DispatchDecision::Refuse(refusal) => return Err(refusal),
                 DispatchDecision::Wait(ticket) => {
@@ -250,14 +254,14 @@
             Refusal { code: Code::Overloaded, retry_after: Duration::from_millis(500) };
         let result = result.and_then(Result::ok).unwrap_or(Err(not_granted));
         drop(guard);
-        self.grant_slot(&self.lock(), result?, req.prompt_tokens)
+        self.grant_slot(&self.lock(), result?, req)
     }
 
     fn grant_slot(
         self: &Arc<Self>,
         inner: &Inner,
         key: MemberKey,
-        prompt_tokens: u32,
+        req: &DispatchRequest,
     ) -> Result<Slot, Refusal> {
         let removed = Refusal { code: Code::NoEndpoint, retry_after: Duration::from_millis(500) };
         let member = inner.pool.member(key).ok_or(removed)?;
@@ -267,7 +271,8 @@
             endpoint: member.registration.heartbeat.id.clone(),
             address: member.address(),
             sent_at: self.clock.now(),
-            prompt_tokens,
+            prompt_tokens: req.prompt_tokens,
+            kv_tokens: inner.pool.kv_need(req),
             response_started_at: None,
             last_active_at: self.clock.now(),
             in_flight: None,
