Core: hold sends back after refusals by several engines

When a group stalls, each request was sent to one engine after another until the reports said so, and again once these were stale, since a stale report counts as open. An engine that had just refused was chosen again.

An engine that has refused is not chosen until a later report or for 0.5 s. After refusals by three engines within 0.3 s and no acceptance, requests wait in the queue until a later open report, an acceptance, or for 0.5 s.

Ten requests at the start of a simulated stall cause 3 sends (core/tests/connections.rs).

--- a/crates/core/src/dispatch/member.rs
+++ b/crates/core/src/dispatch/member.rs
@@ -70,6 +70,9 @@
 /// Time after which an endpoint that had ended is tried again without a heartbeat: its heartbeats may
 /// be held up while the control instances have no quorum or are cut off.
 const ENDED_RECHECK_TIME: Duration = Duration::from_secs(15);
+/// Time after which an endpoint that has refused is tried again without a new report: longer than the
+/// age of reports.
+const REFUSAL_RECHECK_TIME: Duration = Duration::from_millis(500);
 /// Agent reports older than this are ignored.
 const REPORT_STALE_AFTER: Duration = Duration::from_millis(1500);
 
@@ -117,6 +120,8 @@
     ejections: u32,
     cold_until: Option<Instant>,
     recent_sends: SlidingWindow,
+    /// When the endpoint last refused a request although its report showed a free slot.
+    refused_at: Option<Instant>,
     kv: KvReservations,
 }
 
@@ -141,6 +146,7 @@
             consecutive_failures: 0,
             ejections: 0,
             recent_sends: SlidingWindow::new(COLD_WINDOW),
+            refused_at: None,
             kv: KvReservations::default(),
         }
     }
@@ -305,6 +311,16 @@
         self.recent_sends.add(now);
     }
 
+    /// Whether the endpoint has refused a request since its load was last observed: what the report says
+    /// of it is out of date. Without reports, refusals say nothing about the next request.
+    pub fn has_refused(&self, now: Instant) -> bool {
+        let (Some(refused_at), Some(state)) = (self.refused_at, &self.rank_state) else {
+            return false;
+        };
+        state.observed_at <= refused_at
+            && now.saturating_duration_since(refused_at) < REFUSAL_RECHECK_TIME
+    }
+
     /// Records the KV memory that a request sent to the endpoint is expected to hold.
     pub fn reserve_kv(&mut self, tokens: u32) {
         self.kv.reserve(tokens);
@@ -343,7 +359,7 @@
                 self.ejections = 0;
             }
             // A refusal means that the endpoint is at capacity, not that it is failing.
-            RequestOutcome::Refused => {}
+            RequestOutcome::Refused => self.refused_at = Some(now),
             RequestOutcome::Failed => self.failure_rate.add(now, 1.0, STATS_TIME_CONSTANT),
             RequestOutcome::Unreachable => self.eject(now),
             RequestOutcome::Ended => self.ended_at = Some(now),
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -15,6 +15,7 @@
 mod pool;
 mod queue;
 mod reachability;
+mod refusals;
 mod sliding_window;
 mod water_filling;
 
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -32,6 +32,7 @@
 use super::Ticket;
 use super::queue::WaitQueue;
 use super::queue::Waiter;
+use super::refusals::Refusals;
 use crate::Code;
 use crate::Digest;
 use crate::fleet::HeartbeatState;
@@ -177,6 +178,9 @@
     scan_offset: u32,
     reachability: SharedReachability,
     idle_connections: Option<Arc<dyn IdleConnections>>,
+    refusals: Refusals,
+    /// Number of times that refusals have held back further sends.
+    refusal_pauses: u64,
     rng: ChaCha8Rng,
     /// Random number from 0 to 1 that rounds this gateway's part of the free places, and when it was
     /// drawn.
@@ -206,6 +210,8 @@
             scan_offset: 0,
             reachability: SharedReachability::default(),
             idle_connections: None,
+            refusals: Refusals::default(),
+            refusal_pauses: 0,
             rounding: (0.0, None),
         }
     }
@@ -281,6 +287,9 @@
                 reach::lock(&self.reachability).record_reports_resumed(state.observed_at, domain);
             }
             m.record_rank_state(state);
+            if state.open {
+                self.refusals.record_open_report(state.observed_at);
+            }
         }
     }
 
@@ -454,6 +463,7 @@
     ) -> Vec<QueueOutcome> {
         self.in_flight = self.in_flight.saturating_sub(1);
         self.record_reachability(now, key, outcome, held);
+        self.record_refusal(now, key, outcome);
         if let Some(m) = self.members.get_mut(&key) {
             m.record_outcome(now, outcome);
             m.release_kv(kv_tokens);
@@ -520,6 +530,25 @@
         self.kv_need.add(now, f64::from(kv_tokens), HOLD_TIME_CONSTANT);
     }
 
+    /// Number of times that refusals have held back further sends.
+    pub fn refusal_pauses(&self) -> u64 {
+        self.refusal_pauses
+    }
+
+    /// Records that an endpoint has accepted a request.
+    pub fn record_accepted(&mut self) {
+        self.refusals.record_acceptance();
+    }
+
+    /// Records a refusal by an endpoint whose agent reports its load. Without reports, nothing would
+    /// tell when the endpoints accept requests again.
+    fn record_refusal(&mut self, now: Instant, key: MemberKey, outcome: RequestOutcome) {
+        let reports = self.members.get(&key).is_some_and(|m| m.rank_state.is_some());
+        if outcome == RequestOutcome::Refused && reports {
+            self.refusal_pauses += u64::from(self.refusals.record_refusal(now, key));
+        }
+    }
+
     fn refuse(&self, code: Code, retry_after: Duration) -> DispatchDecision {
         DispatchDecision::Refuse(Refusal { code, retry_after })
     }
--- a/crates/core/src/dispatch/pool/selection.rs
+++ b/crates/core/src/dispatch/pool/selection.rs
@@ -49,7 +49,7 @@
         kv_tokens: u32,
         tried: &[MemberKey],
     ) -> Option<MemberKey> {
-        if self.in_flight >= self.limit(now) {
+        if self.in_flight >= self.limit(now) || self.refusals.is_closed(now) {
             return None;
         }
         let fleet =
@@ -71,6 +71,7 @@
             let eligible = m.is_available(now) && self.in_service(m) && !tried.contains(&key);
             let has_room = m.load(now) < m.registration.heartbeat.slots.max(1)
                 && m.in_flight < self.connection_share(m)
+                && !m.has_refused(now)
                 && self.fits_kv(now, m, kv_tokens);
             if !eligible || !has_room {
                 continue;
--- a/crates/core/tests/connections.rs
+++ b/crates/core/tests/connections.rs
@@ -319,3 +319,69 @@
     let large = DispatchRequest { prompt_tokens: 9700, ..request(now) };
     assert!(matches!(pool.dispatch(now, &large), DispatchDecision::Send(_)));
 }
+
+fn report_all(pool: &mut Pool, engines: usize, open: bool, observed_at: Instant) {
+    for e in 0..engines {
+        pool.record_rank_state(address(e), RankState { open, requests: 1, observed_at });
+    }
+}
+
+/// Sends each request to one engine after another, as a gateway does while they refuse, and returns the
+/// number of sends.
+fn sends_refused(pool: &mut Pool, now: Instant, requests: u32) -> u32 {
+    let mut sends = 0;
+    for _ in 0..requests {
+        let mut req = request(now);
+        for _ in 0..4 {
+            let DispatchDecision::Send(key) = pool.dispatch(now, &req) else { break };
+            sends += 1;
+            let _ = pool.complete(now, key, RequestOutcome::Refused, MS);
+            req.tried.push(key);
+            req.earlier = EarlierSends::Arrived;
+        }
+    }
+    sends
+}
+
+/// Guards against a fifth of all sends being refused (Boardrun): when a group stalls, each request was
+/// sent to one engine after another until the reports said so, and again once these were stale.
+#[test]
+fn requests_wait_for_a_report_after_refusals_by_several_engines() {
+    let start = Instant::now();
+    let mut pool = engine_pool(start, 72, 15);
+    report_all(&mut pool, 72, true, start);
+    assert_eq!(sends_refused(&mut pool, start + 50 * MS, 10), 3);
+    assert_eq!(pool.refusal_pauses(), 1);
+    // A report from before the refusals changes nothing, the next one does.
+    report_all(&mut pool, 72, true, start + 40 * MS);
+    assert_eq!(sends_refused(&mut pool, start + 100 * MS, 10), 0);
+    report_all(&mut pool, 72, true, start + 110 * MS);
+    assert!(matches!(
+        pool.dispatch(start + 150 * MS, &request(start + 150 * MS)),
+        DispatchDecision::Send(_)
+    ));
+    // The group says that it is closed, and then nothing any more: its coordinator is cut off.
+    report_all(&mut pool, 72, false, start + 200 * MS);
+    let mut sends = 0;
+    for ms in (210..5200).step_by(60) {
+        sends += sends_refused(&mut pool, start + ms * MS, 1);
+    }
+    assert!((3..=3 * 8).contains(&sends), "{sends} sends of 84 requests");
+}
+
+/// Guards against holding requests back because single engines are full while others accept.
+#[test]
+fn refusals_between_acceptances_hold_nothing_back() {
+    let now = Instant::now();
+    let mut pool = engine_pool(now, 72, 15);
+    report_all(&mut pool, 72, true, now);
+    for _ in 0..10 {
+        let DispatchDecision::Send(full) = pool.dispatch(now, &request(now)) else { panic!() };
+        let _ = pool.complete(now, full, RequestOutcome::Refused, MS);
+        pool.record_accepted();
+        let DispatchDecision::Send(next) = pool.dispatch(now, &request(now)) else { panic!() };
+        assert_ne!(next, full, "sent to an engine that has just refused");
+        let _ = pool.complete(now, next, RequestOutcome::Whole, MS);
+    }
+    assert_eq!(pool.refusal_pauses(), 0);
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -228,7 +228,14 @@
             suspects::check_crash(self, &slot);
         }
         self.tried.push(slot.key);
+        let pauses = |pool: &SlotPool| pool.with_pool(|p| p.refusal_pauses());
+        let pauses_before = pauses(&self.slot_pool);
         slot.finish(outcome);
+        if outcome == RequestOutcome::Refused && pauses(&self.slot_pool) > pauses_before {
+            let service = self.access_log.service.as_str();
+            log::info!(service = service; "endpoints refuse requests: sends wait for a load report");
+            metrics::counter!("crocustally_refusal_pauses").increment(1);
+        }
         self.gateway.note_reachability();
     }
 
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -95,6 +95,11 @@
         self.slot_pool.lock().pool.record_reached(now, self.key);
     }
 
+    /// Records that the endpoint has accepted the request.
+    pub(crate) fn record_accepted(&self) {
+        self.slot_pool.lock().pool.record_accepted();
+    }
+
     /// Records that the endpoint says that it leaves; returns whether that is new.
     pub(crate) fn record_leaving(&self) -> bool {
         let mut is_new = false;
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -171,6 +171,7 @@
     if head.status.is_success() && !meta.signed {
         return SendOutcome::MaybeExecuted(RequestOutcome::Broken);
     }
+    slot.record_accepted();
     SendOutcome::Response(Box::new(EndpointResponse { head, meta, body, framing, client, conn }))
 }
 
