--- a/crates/core/tests/connections.rs
+++ b/crates/core/tests/connections.rs
@@ -372,16 +372,19 @@
 /// Guards against holding requests back because single engines are full while others accept.
 #[test]
 fn refusals_between_acceptances_hold_nothing_back() {
-    let now = Instant::now();
-    let mut pool = engine_pool(now, 72, 15);
-    report_all(&mut pool, 72, true, now);
-    for _ in 0..10 {
+    let start = Instant::now();
+    let mut pool = engine_pool(start, 3, 15);
+    for round in 0..10_u32 {
+        let now = start + round * 100 * MS;
+        report_all(&mut pool, 3, true, now);
         let DispatchDecision::Send(full) = pool.dispatch(now, &request(now)) else { panic!() };
         let _ = pool.complete(now, full, RequestOutcome::Refused, MS);
         pool.record_accepted();
-        let DispatchDecision::Send(next) = pool.dispatch(now, &request(now)) else { panic!() };
-        assert_ne!(next, full, "sent to an engine that has just refused");
-        let _ = pool.complete(now, next, RequestOutcome::Whole, MS);
+        for _ in 0..5 {
+            let DispatchDecision::Send(next) = pool.dispatch(now, &request(now)) else { panic!() };
+            assert_ne!(next, full, "sent to an engine that has just refused");
+            let _ = pool.complete(now, next, RequestOutcome::Whole, MS);
+        }
     }
     assert_eq!(pool.refusal_pauses(), 0);
 }
