Core: probe a suspect domain again after a lost probe

The result of a probing request is matched by the endpoint's address. If the endpoint moves meanwhile, the domain was not probed again until it responded by itself. A probe without a result counts as lost after 10 s.

--- a/crates/core/src/dispatch/reachability.rs
+++ b/crates/core/src/dispatch/reachability.rs
@@ -22,6 +22,10 @@
 /// Upper bound of the time between two probing requests.
 const PROBE_INTERVAL_MAX: Duration = Duration::from_secs(2);
 
+/// Time after which a probing request without a result no longer prevents the next one: longer than
+/// the timeouts of requests. Its endpoint may have been replaced or moved meanwhile.
+const PROBE_LOST_AFTER: Duration = Duration::from_secs(10);
+
 /// Beginning or end of a suspicion.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReachabilityChange {
@@ -148,7 +152,10 @@
     /// Whether the next request may probe the domain, which is suspect.
     pub fn is_probe_due(&self, now: Instant, domain: &str) -> bool {
         let suspicion = self.domains.get(domain).and_then(|d| d.suspicion.as_ref());
-        suspicion.is_some_and(|s| s.probing.is_none() && now >= s.probe_at)
+        suspicion.is_some_and(|s| {
+            let wait = if s.probing.is_some() { PROBE_LOST_AFTER } else { Duration::ZERO };
+            now >= s.probe_at + wait
+        })
     }
 
     /// Records that a request is sent to an endpoint of a suspect domain as a probe.
--- a/crates/core/tests/reachability.rs
+++ b/crates/core/tests/reachability.rs
@@ -14,6 +14,7 @@
 use crocustally_core::dispatch::Pool;
 use crocustally_core::dispatch::PoolSettings;
 use crocustally_core::dispatch::RankState;
+use crocustally_core::dispatch::Reachability;
 use crocustally_core::dispatch::RequestOutcome;
 use crocustally_core::dispatch::SharedReachability;
 use crocustally_core::fleet::Heartbeat;
@@ -272,3 +273,23 @@
         .count();
     assert!(to_cut <= 1, "{to_cut} requests to the domain that is cut off");
 }
+
+/// Guards against a domain that is never probed again because the result of a probing request got lost,
+/// for instance with an endpoint that has moved.
+#[test]
+fn lost_probe_does_not_prevent_the_next_one_for_ever() {
+    let now = Instant::now();
+    let mut reachability = Reachability::default();
+    reachability.record_failure(now, "d1", address(1), CONNECT_TIMEOUT);
+    reachability.record_failure(now, "d1", address(4), CONNECT_TIMEOUT);
+    assert!(reachability.is_suspect("d1"));
+    assert!(!reachability.is_probe_due(now + 499 * MS, "d1"));
+    assert!(reachability.is_probe_due(now + 500 * MS, "d1"));
+    reachability.record_probe(now + 500 * MS, "d1", address(1));
+    assert!(!reachability.is_probe_due(now + 5000 * MS, "d1"));
+    assert!(reachability.is_probe_due(now + 11_500 * MS, "d1"));
+    // A probe with a result does not delay the next one beyond its interval.
+    reachability.record_probe(now + 11_500 * MS, "d1", address(1));
+    reachability.record_failure(now + 11_900 * MS, "d1", address(1), CONNECT_TIMEOUT);
+    assert!(reachability.is_probe_due(now + 13_500 * MS, "d1"));
+}
