--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -1,6 +1,7 @@
 //! [`Pool`]: endpoint selection and queueing for one service in one gateway.
 
 mod connections;
+mod kv;
 mod reach;
 mod selection;
 
@@ -25,6 +26,7 @@
 use super::GroupView;
 use super::Groups;
 use super::IdleConnections;
+use super::KvSettings;
 use super::Limiter;
 use super::LimiterSettings;
 use super::Member;
@@ -39,6 +41,7 @@
 use super::queue::QueuePlace;
 use super::queue::WaitQueue;
 use super::queue::Waiter;
+use super::refusals::Refusals;
 use crate::Code;
 use crate::Digest;
 use crate::fleet::HeartbeatState;
@@ -68,6 +71,8 @@
     pub gateways: GatewaySet,
     /// Connections that one endpoint accepts, summed over all gateways.
     pub connections_max: u32,
+    /// KV memory of the engines; `None` if it is not limited.
+    pub kv: Option<KvSettings>,
     /// Seed of the random endpoint choice; must differ between gateways.
     pub seed: u64,
 }
@@ -85,6 +90,7 @@
             cold_per_s: 5.0,
             gateways: GatewaySet::new(0, 1..4, true),
             connections_max: 256,
+            kv: None,
             seed: 0,
         }
     }
@@ -102,6 +108,8 @@
     pub workspace: u64,
     /// Length of the prompt in tokens; 0 for services without model engines.
     pub prompt_tokens: u32,
+    /// Maximum length of the response in tokens; 0 if the request sets none.
+    pub max_response_tokens: u32,
     /// Latest time at which the request may be sent; after that it is refused.
     pub queue_deadline: Instant,
     /// With admission by urgency, the latest time at which a late request may be sent: after it, the
@@ -187,6 +195,8 @@
     in_flight: u32,
     queue: WaitQueue,
     hold_ms: Ewma,
+    /// Mean KV memory of this gateway's requests, in tokens.
+    kv_need: Ewma,
     first_attempts: SlidingWindow,
     retries: SlidingWindow,
     /// Latest time at which a refused caller was told to retry.
@@ -196,6 +206,9 @@
     scan_offset: u32,
     reachability: SharedReachability,
     idle_connections: Option<Arc<dyn IdleConnections>>,
+    refusals: Refusals,
+    /// Number of times that refusals have held back further sends.
+    refusal_pauses: u64,
     rng: ChaCha8Rng,
     /// Random number from 0 to 1 that rounds this gateway's part of the free places, and when it was
     /// drawn.
@@ -223,11 +236,14 @@
             in_flight: 0,
             queue: WaitQueue::default(),
             hold_ms: Ewma::default(),
+            kv_need: Ewma::default(),
             last_retry_at: None,
             outage_since: None,
             scan_offset: 0,
             reachability: SharedReachability::default(),
             idle_connections: None,
+            refusals: Refusals::default(),
+            refusal_pauses: 0,
             rounding: (0.0, None),
         }
     }
@@ -311,6 +327,9 @@
             }
             m.record_rank_state(state);
             self.groups.observe(state.observed_at, state.group);
+            if state.open {
+                self.refusals.record_open_report(state.observed_at);
+            }
         }
     }
 
@@ -424,10 +443,16 @@
         if let (Some(admission), Some(class)) = (&mut self.admission, place.class) {
             admission.record_arrival(now, class);
         }
+        let kv_tokens = self.kv_need(req);
+        if self.exceeds_kv(kv_tokens) {
+            return self.refuse(Code::Overloaded, RETRY_AFTER_MAX);
+        }
         let none_ahead = self.queue.ahead(place.priority) == 0;
-        if none_ahead && let Some(key) = self.choose_for(now, &place, req.prompt_tokens, &req.tried)
+        if none_ahead
+            && let Some(key) =
+                self.choose_for(now, &place, (req.prompt_tokens, kv_tokens), &req.tried)
         {
-            self.assign(now, key, req.prompt_tokens, req.earlier);
+            self.assign(now, key, (req.prompt_tokens, kv_tokens), req.earlier);
             self.record_admission(now, place.class, req.workspace, true);
             return DispatchDecision::Send(key);
         }
@@ -513,6 +538,7 @@
             workspace: req.workspace,
             workspace_admitted: 0.0,
             prompt_tokens: req.prompt_tokens,
+            kv_tokens: self.kv_need(req),
             retry_after: RETRY_AFTER_MIN,
             return_time_max: req.return_time_max,
             tried: req.tried.clone(),
@@ -526,7 +552,7 @@
         &mut self,
         now: Instant,
         place: &QueuePlace,
-        prompt_tokens: u32,
+        (prompt_tokens, kv_tokens): (u32, u32),
         tried: &[MemberKey],
     ) -> Option<MemberKey> {
         let own_places = self.own_places();
@@ -534,7 +560,7 @@
             (Some(admission), Some(class)) => admission.limit(now, class, own_places),
             _ => AdmissionLimit::default(),
         };
-        self.choose_member(now, limit, prompt_tokens, tried)
+        self.choose_member(now, limit, prompt_tokens, kv_tokens, tried)
     }
 
     fn record_admission(
@@ -582,18 +608,33 @@
         }
     }
 
-    /// Releases a slot that was held for `held`, and serves the queue.
+    /// Releases a slot that was held for `held`, and serves the queue. Of the reservations of KV memory
+    /// at the member, the oldest one ends.
     pub fn complete(
         &mut self,
         now: Instant,
         key: MemberKey,
         outcome: RequestOutcome,
         held: Duration,
+    ) -> Vec<QueueOutcome> {
+        self.complete_with_kv(now, key, outcome, held, None)
+    }
+
+    /// As [`complete`](Self::complete), for a request whose need of KV memory is known.
+    pub fn complete_with_kv(
+        &mut self,
+        now: Instant,
+        key: MemberKey,
+        outcome: RequestOutcome,
+        held: Duration,
+        kv_tokens: Option<u32>,
     ) -> Vec<QueueOutcome> {
         self.in_flight = self.in_flight.saturating_sub(1);
         self.record_reachability(now, key, outcome, held);
+        self.record_refusal(now, key, outcome);
         if let Some(m) = self.members.get_mut(&key) {
             m.record_outcome(now, outcome);
+            m.release_kv(kv_tokens);
             let ended = self.by_id.get(&m.registration.heartbeat.id) != Some(&key);
             if ended {
                 self.drop_ended_incarnations();
@@ -625,11 +666,12 @@
             if let Some(admission) = &self.admission {
                 queue.rank_workspaces(|w| admission.workspace_shares().recent(now, w));
             }
-            let next = queue
-                .pop_first_placeable(|w| self.choose_for(now, &w.place, w.prompt_tokens, &w.tried));
+            let next = queue.pop_first_placeable(|w| {
+                self.choose_for(now, &w.place, (w.prompt_tokens, w.kv_tokens), &w.tried)
+            });
             self.queue = queue;
             let Some((w, key)) = next else { return outcomes };
-            self.assign(now, key, w.prompt_tokens, w.earlier);
+            self.assign(now, key, (w.prompt_tokens, w.kv_tokens), w.earlier);
             self.record_admission(now, w.place.class, w.workspace, true);
             outcomes.push((w.ticket, Ok(key)));
         }
@@ -647,7 +689,9 @@
         self.any_available(now, tried) && self.may_retry(now)
     }
 
-    fn assign(&mut self, now: Instant, key: MemberKey, prompt_tokens: u32, earlier: EarlierSends) {
+    /// Reserves a slot and KV memory; `tokens` are those of the prompt and of the need of KV memory.
+    fn assign(&mut self, now: Instant, key: MemberKey, tokens: (u32, u32), earlier: EarlierSends) {
+        let (prompt_tokens, kv_tokens) = tokens;
         self.in_flight += 1;
         self.outage_since = None;
         if earlier == EarlierSends::Arrived {
@@ -655,6 +699,27 @@
         }
         if let Some(m) = self.members.get_mut(&key) {
             m.record_sent(now, prompt_tokens);
+            m.reserve_kv(kv_tokens);
+        }
+        self.kv_need.add(now, f64::from(kv_tokens), HOLD_TIME_CONSTANT);
+    }
+
+    /// Number of times that refusals have held back further sends.
+    pub fn refusal_pauses(&self) -> u64 {
+        self.refusal_pauses
+    }
+
+    /// Records that an endpoint has accepted a request.
+    pub fn record_accepted(&mut self) {
+        self.refusals.record_acceptance();
+    }
+
+    /// Records a refusal by an endpoint whose agent reports its load. Without reports, nothing would
+    /// tell when the endpoints accept requests again.
+    fn record_refusal(&mut self, now: Instant, key: MemberKey, outcome: RequestOutcome) {
+        let reports = self.members.get(&key).is_some_and(|m| m.rank_state.is_some());
+        if outcome == RequestOutcome::Refused && reports {
+            self.refusal_pauses += u64::from(self.refusals.record_refusal(now, key));
         }
     }
 
--- a/crates/core/src/dispatch/pool/selection.rs
+++ b/crates/core/src/dispatch/pool/selection.rs
@@ -49,8 +49,12 @@
         now: Instant,
         admission: AdmissionLimit,
         prompt_tokens: u32,
+        kv_tokens: u32,
         tried: &[MemberKey],
     ) -> Option<MemberKey> {
+        if self.refusals.is_closed(now) {
+            return None;
+        }
         let split = self.has_groups();
         let fleet = if split {
             self.scan_groups(now, admission);
@@ -80,7 +84,9 @@
             let Some(m) = self.members.get(&key) else { continue };
             let eligible = m.is_available(now) && self.in_service(m) && !tried.contains(&key);
             let has_room = m.load(now) < m.registration.heartbeat.slots.max(1)
-                && m.in_flight < self.connection_share(m);
+                && m.in_flight < self.connection_share(m)
+                && !m.has_refused(now)
+                && self.fits_kv(now, m, kv_tokens);
             if !eligible || !has_room || (split && !self.groups.accepts(m.group())) {
                 continue;
             }
--- a/crates/core/src/dispatch/queue.rs
+++ b/crates/core/src/dispatch/queue.rs
@@ -23,6 +23,7 @@
     /// What that workspace was admitted recently, as of the last [`WaitQueue::rank_workspaces`].
     pub(super) workspace_admitted: f64,
     pub(super) prompt_tokens: u32,
+    pub(super) kv_tokens: u32,
     pub(super) retry_after: Duration,
     /// Longest time after which the caller comes back once it is refused.
     pub(super) return_time_max: Duration,
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -89,6 +89,7 @@
         is_caller_retry: false,
         workspace,
         prompt_tokens: 0,
+        max_response_tokens: 0,
         queue_deadline: now + ON_TIME,
         late_deadline: now + PATIENCE,
         return_time_max: 2600 * MS,
--- a/crates/core/tests/connections.rs
+++ b/crates/core/tests/connections.rs
@@ -8,11 +8,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crocustally_core::Code;
 use crocustally_core::dispatch::DispatchDecision;
 use crocustally_core::dispatch::DispatchRequest;
 use crocustally_core::dispatch::EarlierSends;
 use crocustally_core::dispatch::GatewaySet;
 use crocustally_core::dispatch::IdleConnections;
+use crocustally_core::dispatch::KvSettings;
 use crocustally_core::dispatch::LimiterSettings;
 use crocustally_core::dispatch::MemberKey;
 use crocustally_core::dispatch::Pool;
@@ -59,6 +61,7 @@
         late_deadline: now + 150 * MS,
         return_time_max: 2500 * MS,
         prompt_tokens: 800,
+        max_response_tokens: 0,
         queue_deadline: now,
         outage_deadline: now,
         tried: Default::default(),
@@ -251,3 +254,145 @@
         assert!(total >= limit as usize / 2, "{total} connections");
     }
 }
+
+/// Engines with KV memory for ten usual requests of 1,000 tokens.
+const KV: KvSettings =
+    KvSettings { capacity_tokens: 10_000, mean_prompt_tokens: 800, mean_response_tokens: 200 };
+
+fn engine_pool(now: Instant, engines: usize, gateways: u64) -> Pool {
+    let mut pool = Pool::new(PoolSettings {
+        limiter: Some(LimiterSettings { floor: 100.0, ..LimiterSettings::default() }),
+        gateways: GatewaySet::new(0, 0..gateways, true),
+        kv: Some(KV),
+        ..PoolSettings::default()
+    });
+    (0..engines).for_each(|e| pool.update_registration(&registration(now, e)));
+    pool
+}
+
+/// Guards against engines that end because their requests exceed their KV memory: few long prompts do,
+/// while slots are free.
+#[test]
+fn long_prompts_fill_no_engine_beyond_its_kv_memory() {
+    let now = Instant::now();
+    let mut pool = engine_pool(now, 3, 1);
+    let long = DispatchRequest { prompt_tokens: 4000, max_response_tokens: 4096, ..request(now) };
+    let mut sent = Vec::new();
+    while let DispatchDecision::Send(key) = pool.dispatch(now, &long) {
+        sent.push(key);
+    }
+    // 4,000 tokens of the prompt and twice the mean response, of 9,000 usable ones.
+    assert_eq!(sent.len(), 6);
+    assert!(pool.members().all(|(_, m)| m.kv_tokens() == 8800));
+    // The place of one that ends goes to the next.
+    let need = Some(pool.kv_need(&long));
+    let _ = pool.complete_with_kv(now, sent[0], RequestOutcome::Whole, MS, need);
+    assert_eq!(pool.dispatch(now, &long), DispatchDecision::Send(sent[0]));
+}
+
+/// Guards against counting this gateway's requests only: those of other gateways are known by the
+/// reported load.
+#[test]
+fn requests_of_other_gateways_count_against_the_kv_memory() {
+    let now = Instant::now();
+    let mut pool = engine_pool(now, 1, 4);
+    pool.record_rank_state(
+        address(0),
+        RankState { open: true, requests: 6, group: 0, observed_at: now },
+    );
+    let long = DispatchRequest { prompt_tokens: 2600, ..request(now) };
+    assert!(matches!(pool.dispatch(now, &long), DispatchDecision::Send(_)));
+    assert!(!matches!(pool.dispatch(now, &long), DispatchDecision::Send(_)));
+    let usual = DispatchRequest { prompt_tokens: 0, ..request(now) };
+    pool.record_rank_state(
+        address(0),
+        RankState { open: true, requests: 1, group: 0, observed_at: now + MS },
+    );
+    assert!(matches!(pool.dispatch(now + MS, &usual), DispatchDecision::Send(_)));
+}
+
+/// Guards against a request that waits in vain, or ends the engine: no engine can hold it.
+#[test]
+fn request_larger_than_the_kv_memory_is_refused_at_once() {
+    let now = Instant::now();
+    let mut pool = engine_pool(now, 3, 1);
+    let huge =
+        DispatchRequest { prompt_tokens: 9900, queue_deadline: now + 500 * MS, ..request(now) };
+    let decision = pool.dispatch(now, &huge);
+    assert!(
+        matches!(decision, DispatchDecision::Refuse(r) if r.code == Code::Overloaded),
+        "{decision:?}"
+    );
+    // One that only an empty engine can hold is sent to such a one.
+    let large = DispatchRequest { prompt_tokens: 9700, ..request(now) };
+    assert!(matches!(pool.dispatch(now, &large), DispatchDecision::Send(_)));
+}
+
+fn report_all(pool: &mut Pool, engines: usize, open: bool, observed_at: Instant) {
+    for e in 0..engines {
+        pool.record_rank_state(address(e), RankState { open, requests: 1, group: 0, observed_at });
+    }
+}
+
+/// Sends each request to one engine after another, as a gateway does while they refuse, and returns the
+/// number of sends.
+fn sends_refused(pool: &mut Pool, now: Instant, requests: u32) -> u32 {
+    let mut sends = 0;
+    for _ in 0..requests {
+        let mut req = request(now);
+        for _ in 0..4 {
+            let DispatchDecision::Send(key) = pool.dispatch(now, &req) else { break };
+            sends += 1;
+            let _ = pool.complete(now, key, RequestOutcome::Refused, MS);
+            req.tried.push(key);
+            req.earlier = EarlierSends::Arrived;
+        }
+    }
+    sends
+}
+
+/// Guards against a fifth of all sends being refused (Boardrun): when a group stalls, each request was
+/// sent to one engine after another until the reports said so, and again once these were stale.
+#[test]
+fn requests_wait_for_a_report_after_refusals_by_several_engines() {
+    let start = Instant::now();
+    let mut pool = engine_pool(start, 72, 15);
+    report_all(&mut pool, 72, true, start);
+    assert_eq!(sends_refused(&mut pool, start + 50 * MS, 10), 3);
+    assert_eq!(pool.refusal_pauses(), 1);
+    // A report from before the refusals changes nothing, the next one does.
+    report_all(&mut pool, 72, true, start + 40 * MS);
+    assert_eq!(sends_refused(&mut pool, start + 100 * MS, 10), 0);
+    report_all(&mut pool, 72, true, start + 110 * MS);
+    assert!(matches!(
+        pool.dispatch(start + 150 * MS, &request(start + 150 * MS)),
+        DispatchDecision::Send(_)
+    ));
+    // The group says that it is closed, and then nothing any more: its coordinator is cut off.
+    report_all(&mut pool, 72, false, start + 200 * MS);
+    let mut sends = 0;
+    for ms in (210..5200).step_by(60) {
+        sends += sends_refused(&mut pool, start + ms * MS, 1);
+    }
+    assert!((3..=3 * 8).contains(&sends), "{sends} sends of 84 requests");
+}
+
+/// Guards against holding requests back because single engines are full while others accept.
+#[test]
+fn refusals_between_acceptances_hold_nothing_back() {
+    let start = Instant::now();
+    let mut pool = engine_pool(start, 3, 15);
+    for round in 0..10_u32 {
+        let now = start + round * 100 * MS;
+        report_all(&mut pool, 3, true, now);
+        let DispatchDecision::Send(full) = pool.dispatch(now, &request(now)) else { panic!() };
+        let _ = pool.complete(now, full, RequestOutcome::Refused, MS);
+        pool.record_accepted();
+        for _ in 0..5 {
+            let DispatchDecision::Send(next) = pool.dispatch(now, &request(now)) else { panic!() };
+            assert_ne!(next, full, "sent to an engine that has just refused");
+            let _ = pool.complete(now, next, RequestOutcome::Whole, MS);
+        }
+    }
+    assert_eq!(pool.refusal_pauses(), 0);
+}
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -65,6 +65,7 @@
         is_caller_retry: false,
         workspace: 0,
         prompt_tokens: 0,
+        max_response_tokens: 0,
         queue_deadline: now + 150 * MS,
         late_deadline: now + 150 * MS,
         return_time_max: 2500 * MS,
--- a/crates/core/tests/groups.rs
+++ b/crates/core/tests/groups.rs
@@ -60,6 +60,7 @@
         expert_slots_per_set: 5,
         new_experts_per_set_max: 2,
         expert_share: 0.85,
+        kv_capacity_tokens: 0,
         expert_copy_time: Duration::from_millis(76),
     }
 }
@@ -116,6 +117,7 @@
         late_deadline: now + 150 * MS,
         return_time_max: 2500 * MS,
         prompt_tokens: 825,
+        max_response_tokens: 0,
         queue_deadline: now,
         outage_deadline: now,
         tried: Default::default(),
--- a/crates/core/tests/shared_limits.rs
+++ b/crates/core/tests/shared_limits.rs
@@ -69,6 +69,7 @@
                 is_caller_retry: false,
                 workspace: 0,
                 prompt_tokens: 0,
+                max_response_tokens: 0,
                 queue_deadline: now,
                 late_deadline: now + 150 * MS,
                 return_time_max: 2500 * MS,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -190,6 +190,7 @@
             is_caller_retry: self.is_caller_retry(),
             workspace: self.workspace_key,
             prompt_tokens: self.meta.prompt_tokens,
+            max_response_tokens: self.meta.max_response_tokens,
             queue_deadline: self.queue_deadline().min(self.deadline),
             late_deadline: self.late_deadline(),
             return_time_max: self.remaining() / RETURN_TIME_DIVISOR,
@@ -265,7 +266,14 @@
             suspects::check_crash(self, &slot);
         }
         self.tried.push(slot.key);
+        let pauses = |pool: &SlotPool| pool.with_pool(|p| p.refusal_pauses());
+        let pauses_before = pauses(&self.slot_pool);
         slot.finish(outcome);
+        if outcome == RequestOutcome::Refused && pauses(&self.slot_pool) > pauses_before {
+            let service = self.access_log.service.as_str();
+            log::info!(service = service; "endpoints refuse requests: sends wait for a load report");
+            metrics::counter!("crocustally_refusal_pauses").increment(1);
+        }
         self.gateway.note_reachability();
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use crocustally_core::dispatch::AdmissionSettings;
 use crocustally_core::dispatch::CrashTracker;
 use crocustally_core::dispatch::GatewaySet;
+use crocustally_core::dispatch::KvSettings;
 use crocustally_core::dispatch::LimiterSettings;
 use crocustally_core::dispatch::PassModel;
 use crocustally_core::dispatch::PoolSettings;
@@ -360,7 +361,13 @@
             gap_max: gap,
             skew: POPULARITY_SHIFT_SKEW,
         });
+        let kv = service.engine.as_ref().filter(|e| e.kv_capacity_tokens > 0).map(|e| KvSettings {
+            capacity_tokens: e.kv_capacity_tokens,
+            mean_prompt_tokens: e.mean_prompt_tokens,
+            mean_response_tokens: e.mean_response_tokens,
+        });
         PoolSettings {
+            kv,
             domain: self.cfg.domain.clone(),
             admission: limiter
                 .map(|_| AdmissionSettings::for_urgencies(policy.urgencies(&service.name))),
