--- a/crates/daemons/tests/soak/deployment.rs
+++ b/crates/daemons/tests/soak/deployment.rs
@@ -19,6 +19,7 @@
 use rustix::process::Signal;
 use rustix::process::kill_process;
 use rustix::process::prlimit;
+use serde_json::Value;
 use serde_json::json;
 
 use crate::runner::Runner;
@@ -60,6 +61,10 @@
     pub peer_relays: Vec<TcpRelay>,
     /// Addresses of the control instances that settings name; after a replacement they lag by one.
     pub seeds: Vec<SocketAddr>,
+    /// Settings of gateways in addition to the usual ones, or instead of them.
+    pub gateway_settings: Value,
+    /// Limit on the open descriptors of gateways; `None` leaves that of this process.
+    pub gateway_descriptors: Option<usize>,
     replacements: u8,
     folder: PathBuf,
     keep_data: bool,
@@ -129,6 +134,8 @@
             links,
             peer_relays: Vec::new(),
             seeds: Vec::new(),
+            gateway_settings: json!({}),
+            gateway_descriptors: None,
             replacements: 0,
             folder,
             keep_data: false,
@@ -207,6 +214,11 @@
                 "control_port": PEER_PORT, "grace_s": 8.0,
             }),
         };
+        if let (Kind::Gateway, Value::Object(more)) = (p.kind, &self.gateway_settings) {
+            for (key, value) in more {
+                yaml[key] = value.clone();
+            }
+        }
         if self.links.is_some() {
             yaml["source"] = json!(p.ip);
             if p.kind == Kind::Control {
@@ -236,12 +248,11 @@
         };
         // A file that reaches its size limit, as a full disk does here, would end the process.
         let mut command = Command::new("env");
-        command
-            .arg("--ignore-signal=XFSZ")
-            .arg(program)
-            .arg("--settings")
-            .arg(&settings)
-            .stdin(Stdio::null());
+        command.arg("--ignore-signal=XFSZ");
+        if let (Kind::Gateway, Some(n)) = (self.processes[i].kind, self.gateway_descriptors) {
+            command.args(["sh", "-c", &format!("ulimit -S -n {n}; exec \"$@\""), "sh"]);
+        }
+        command.arg(program).arg("--settings").arg(&settings).stdin(Stdio::null());
         command.stderr(log.try_clone().unwrap()).stdout(log);
         self.processes[i].child = Some(command.spawn().unwrap());
     }
@@ -262,6 +273,17 @@
         line.trim().trim_end_matches(" kB").parse::<u64>().unwrap() * 1024
     }
 
+    /// Process id; `None` if the process is not running.
+    pub fn pid(&self, i: usize) -> Option<u32> {
+        self.processes[i].child.as_ref().map(Child::id)
+    }
+
+    /// Number of open descriptors of a process; 0 if it is not running.
+    pub fn descriptors(&self, i: usize) -> usize {
+        let Some(pid) = self.pid(i) else { return 0 };
+        std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count)
+    }
+
     /// Makes the files of a process take no more bytes, its log included, or take them again.
     pub fn set_disk_full(&self, i: usize, full: bool) {
         let pid = self.processes[i].child.as_ref().and_then(|c| Pid::from_raw(c.id() as i32));
