Gateway: limits on clients that make no progress

Cause: idle connections, endless heads and unread responses held descriptors without a bound; a response was copied into the connection's buffer, and its charge dropped, before the client had taken any of it; an answer that found no memory counted against its endpoint; connections to endpoints of at-most-once routes were kept for ever. Change: ClientConnections bounds a server's connections and the time without progress; the longest idle one gives way. Response bodies are written in slices, buffers are charged at their capacity, idle connections are bounded for each address, and a missing descriptor counts as unopened. Settings descriptors_max and client_stall_s.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -19,6 +19,7 @@
 use crocustally_core::dispatch::RequestOutcome;
 use crocustally_core::traffic::Route;
 use crocustally_net::BodyFraming;
+use crocustally_net::BufferBudget;
 use crocustally_net::RequestGuard;
 use crocustally_net::ResponseBody;
 use hyper::Response;
@@ -69,6 +70,8 @@
     pub(crate) head: request::Parts,
     pub(crate) meta: RequestHead,
     pub(crate) body: Bytes,
+    /// Memory for what is held for this caller.
+    pub(crate) buffers: BufferBudget,
     pub(crate) route: Route,
     pub(crate) slot_pool: Arc<SlotPool>,
     pub(crate) workspace: Option<String>,
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -11,6 +11,7 @@
 use crocustally_core::traffic::Route;
 use crocustally_core::traffic::TrafficPolicy;
 use crocustally_net::BufferBudget;
+use crocustally_net::ClientConnection;
 use crocustally_net::CollectError;
 use crocustally_net::ResponseBody;
 use crocustally_net::collect_body;
@@ -20,6 +21,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
@@ -112,6 +114,7 @@
     let arrived = gateway.clock.now();
     let request_guard = gateway.shutdown.track_request();
     let (head, body) = req.into_parts();
+    let conn = head.extensions.get::<Arc<ClientConnection>>().cloned();
     let reject = |id: Option<&str>, code: Code, retry_after: Option<Duration>| {
         log::info!(id = id, path = head.uri.path(), code = code.number(); "request not admitted");
         metrics::counter!("crocustally_not_admitted", "code" => code.number().to_string())
@@ -131,9 +134,13 @@
     let Authorized { route, workspace } =
         authorized.map_err(|code| reject(Some(&meta.id), code, None))?;
     let limit = policy.limits().body_bytes;
-    let body = read_body(body, limit, &gateway.buffers).await.map_err(|code| {
+    let buffers = gateway.buffers.for_client(conn.clone());
+    let body = read_body(body, limit, &buffers, conn.as_ref()).await.map_err(|code| {
         let retry_after = (code == Code::MemoryShort).then_some(MEMORY_RETRY_AFTER);
-        reject(Some(&meta.id), code, retry_after)
+        let mut response = reject(Some(&meta.id), code, retry_after);
+        // The rest of the body is not read.
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        response
     })?;
     let caller = meta.api_key.as_deref().unwrap_or_default().as_bytes();
     let digest = Digest::of(&[head.uri.path().as_bytes(), caller, &body]);
@@ -175,6 +182,7 @@
         workspace: workspace.map(|(name, _)| name),
         gateway: gateway.clone(),
         deadline: arrived + time_limit,
+        buffers,
         slot_pool,
         digest,
         head,
@@ -202,12 +210,35 @@
     Ok(Authorized { route, workspace })
 }
 
-async fn read_body(mut body: Incoming, limit: usize, budget: &BufferBudget) -> Result<Bytes, Code> {
-    match timeout(BODY_TIMEOUT, collect_body(&mut body, limit, budget)).await {
-        None => Err(Code::CallerTooSlow),
-        Some(Ok(body)) => Ok(body),
-        Some(Err(CollectError::TooLong)) => Err(Code::BodyTooLarge),
-        Some(Err(CollectError::NoMemory)) => Err(Code::MemoryShort),
-        Some(Err(CollectError::Broken(_))) => Err(Code::BadFraming),
+async fn read_body(
+    mut body: Incoming,
+    limit: usize,
+    budget: &BufferBudget,
+    conn: Option<&Arc<ClientConnection>>,
+) -> Result<Bytes, Code> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let reading = conn.map(|c| c.reading_body());
+    let read = async {
+        match timeout(BODY_TIMEOUT, collect_body(&mut body, limit, budget)).await {
+            None => Err(Code::CallerTooSlow),
+            Some(Ok(body)) => Ok(body),
+            Some(Err(CollectError::TooLong)) => Err(Code::BodyTooLarge),
+            Some(Err(CollectError::NoMemory)) => Err(Code::MemoryShort),
+            Some(Err(CollectError::Broken(_))) => Err(Code::BadFraming),
+        }
+    };
+    let gave_way = async {
+        match conn {
+            Some(conn) => conn.closing().await,
+            None => future::pending().await,
+        }
+        Err(Code::CallerTooSlow)
+    };
+    let result = future::or(read, gave_way).await;
+    if let Some(reading) = reading.filter(|_| result.is_ok()) {
+        reading.complete();
     }
+    result
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -26,13 +26,17 @@
 use crocustally_net::Abandonment;
 use crocustally_net::BufferBudget;
 use crocustally_net::Channel;
+use crocustally_net::ClientConnections;
 use crocustally_net::Clock;
 use crocustally_net::HttpClient;
 use crocustally_net::HttpClientSettings;
 use crocustally_net::HttpLimits;
 use crocustally_net::Runtime;
 use crocustally_net::Shutdown;
+use crocustally_net::client_connections_max;
+use crocustally_net::descriptor_limit;
 use crocustally_net::serve_http;
+use crocustally_net::serve_http_with;
 use crocustally_net::timeout;
 use crocustally_wire::control_client::ControlClient;
 use event_listener::Event;
@@ -54,6 +58,11 @@
 const GATEWAY_EXPIRY: Duration = Duration::from_secs(150);
 /// Idle timeout of callers' connections; callers reuse one for up to 12 s.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(25);
+/// Longest head of a caller's request in bytes, and the buffers of its connection: twice the `max-header-bytes` of
+/// policies.
+const HEAD_BYTES_MAX: usize = 32 * 1024;
+/// Connections for readiness checks at a time; they count among the descriptors that a process keeps free.
+const READY_CONNECTIONS_MAX: usize = 8;
 /// Timeout for opening a connection to an endpoint: many times the delay between failure domains.
 const ENDPOINT_CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest time for which an idle connection to an endpoint is kept. The path may have gone silent
@@ -125,6 +134,8 @@
     pub(crate) shutdown: Shutdown,
     /// Memory for the bodies of callers and endpoints.
     pub(crate) buffers: BufferBudget,
+    /// Connections of callers.
+    conns: Arc<ClientConnections>,
     pub(crate) dialect: Arc<dyn GatewayDialect>,
     policy: RwLock<Option<Arc<TrafficPolicy>>>,
     /// Held while the pools' settings are updated.
@@ -159,10 +170,17 @@
         shutdown: Shutdown,
         dialect: Arc<dyn GatewayDialect>,
     ) -> std::io::Result<(Arc<Self>, GatewayAddresses)> {
+        let buffers = BufferBudget::of_process(cfg.memory_mb);
+        let descriptors = cfg.descriptors_max.unwrap_or(usize::MAX).min(descriptor_limit());
+        let connections_max = client_connections_max(descriptors, cfg.memory_mb);
+        log::info!(connections_max = connections_max, descriptors = descriptors; "client connections limited");
+        let conns =
+            ClientConnections::new(connections_max, cfg.client_stall, Some(buffers.clone()));
         let gateway = Arc::new(Self {
             rt: rt.clone(),
             shutdown: shutdown.clone(),
-            buffers: BufferBudget::of_process(cfg.memory_mb),
+            buffers: buffers.clone(),
+            conns: conns.clone(),
             dialect,
             policy: RwLock::new(None),
             configuring: Mutex::new(()),
@@ -182,19 +200,21 @@
         rt.spawn(endpoint_ends::report_loop(gateway.clone()));
         let limits = HttpLimits {
             header_timeout: IDLE_TIMEOUT,
-            header_bytes: 64 * 1024,
+            header_bytes: HEAD_BYTES_MAX,
             coded_errors: false,
             drain_delay: SHUTDOWN_DRAIN_DELAY.min(gateway.cfg.grace / 2),
             ..HttpLimits::default()
         };
         let shared = gateway.clone();
         let handler = move |req| frontend::handle_request(shared.clone(), req);
-        let callers = serve_http(rt, gateway.cfg.listen, limits, &shutdown, handler).await?;
+        let listen = gateway.cfg.listen;
+        let callers = serve_http_with(rt, listen, limits, conns, &shutdown, handler).await?;
         let ready = match gateway.cfg.ready_listen {
             None => None,
             Some(address) => {
                 let shared = gateway.clone();
                 let handler = move |req| frontend::handle_readiness(shared.clone(), req);
+                let limits = HttpLimits { connections_max: READY_CONNECTIONS_MAX, ..limits };
                 // Not subject to the shutdown, so that checks see "not ready" until the process
                 // ends.
                 Some(serve_http(rt, address, limits, &Shutdown::default(), handler).await?)
@@ -262,8 +282,10 @@
         if version <= before {
             return;
         }
+        let limits = policy.limits();
         *current = Some(Arc::new(policy));
         drop(current);
+        self.conns.set_times(limits.idle_timeout, limits.header_timeout);
         log::info!(version = version, before = before; "policy in force");
         metrics::gauge!("crocustally_policy_version").set(version as f64);
         self.configure_pools();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -10,6 +10,11 @@
 use crocustally_net::parse_address;
 use serde::Deserialize;
 
+/// Least descriptors of a gateway: those that it keeps free, and some for callers.
+const DESCRIPTORS_MIN: usize = 64;
+/// Longest time without progress that can be set, in seconds.
+const CLIENT_STALL_MAX_S: f64 = 3600.0;
+
 /// Gateway settings as read from YAML, not validated.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -46,6 +51,13 @@
     /// bodies.
     #[serde(default = "default_memory")]
     pub memory_mb: usize,
+    /// Descriptors that the process may open; the process's own limit holds besides.
+    #[serde(default)]
+    pub descriptors_max: Option<usize>,
+    /// Time in seconds after which a caller is disconnected that neither sends the rest of its body nor takes a
+    /// response.
+    #[serde(default = "default_client_stall")]
+    pub client_stall_s: f64,
     /// Maximum length of an endpoint's response body in bytes, except for streams. A longer one
     /// counts as broken.
     #[serde(default = "default_response_bytes_max")]
@@ -94,6 +106,11 @@
     260
 }
 
+/// More than the longest timeout of routes (8 s), after which a caller has given up.
+fn default_client_stall() -> f64 {
+    10.0
+}
+
 /// 8 MiB: far above the responses of services, and a fiftieth of a gateway's memory.
 fn default_response_bytes_max() -> usize {
     8 * 1024 * 1024
@@ -155,6 +172,10 @@
     pub retry_slack: f64,
     /// Memory that the process may use, in megabytes (2^20 bytes).
     pub memory_mb: usize,
+    /// Descriptors that the process may open; `None` for the process's own limit.
+    pub descriptors_max: Option<usize>,
+    /// Time without progress after which a caller is disconnected.
+    pub client_stall: Duration,
     /// Maximum length of an endpoint's response body in bytes, except for streams.
     pub response_bytes_max: usize,
     /// Maximum length of one event of a stream in bytes.
@@ -198,6 +219,7 @@
         }
         for (key, n) in [
             ("retry_span_s", raw.retry_span_s),
+            ("client_stall_s", raw.client_stall_s),
             ("pass_target_share", raw.pass_target_share),
             ("pass_bound_share", raw.pass_bound_share),
         ] {
@@ -215,6 +237,14 @@
                 return Err(SettingsError::invalid(key, "must be 1 or more"));
             }
         }
+        if raw.descriptors_max.is_some_and(|n| n < DESCRIPTORS_MIN) {
+            let text = format!("must be {DESCRIPTORS_MIN} or more");
+            return Err(SettingsError::invalid("descriptors_max", text));
+        }
+        if raw.client_stall_s > CLIENT_STALL_MAX_S {
+            let text = format!("must be at most {CLIENT_STALL_MAX_S}");
+            return Err(SettingsError::invalid("client_stall_s", text));
+        }
         let mut controls = Vec::new();
         for text in &raw.seeds {
             // Seeds carry the port of the operator API; the port for other processes is the same on
@@ -233,6 +263,8 @@
             retry_span: Duration::from_secs_f64(raw.retry_span_s),
             retry_slack: raw.retry_slack,
             memory_mb: raw.memory_mb,
+            descriptors_max: raw.descriptors_max,
+            client_stall: Duration::from_secs_f64(raw.client_stall_s),
             response_bytes_max: raw.response_bytes_max,
             event_bytes_max: raw.event_bytes_max,
             cold_factor: raw.cold_factor,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -133,7 +133,7 @@
             SendOutcome::Response(response) if response.head.status.is_success() => {
                 ex.executions += 1;
                 let (buf, last_received) = (buf.clone(), ex.now());
-                let charge = ex.gateway.buffers.charge(Length::Unknown);
+                let charge = ex.buffers.charge(Length::Unknown);
                 return Ok(UpstreamStream { slot, response, buf, charge, last_received });
             }
             SendOutcome::Response(response) => {
@@ -150,9 +150,12 @@
     slot: Slot,
     mut response: Box<EndpointResponse>,
 ) -> OpenError {
-    let Ok(body) = upstream::read_body(ex, &slot, &mut response).await else {
-        ex.record_attempt(slot, RequestOutcome::Broken);
-        return OpenError::Interrupted;
+    let body = match upstream::read_body(ex, &slot, &mut response).await {
+        Ok(body) => body,
+        Err(e) => {
+            ex.record_attempt(slot, e.outcome());
+            return OpenError::Interrupted;
+        }
     };
     ex.record_attempt(slot, RequestOutcome::Failed);
     if response.head.status.is_server_error() && ex.can_rerun() && ex.can_send() {
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -59,13 +59,16 @@
                 ex.executions += 1;
                 let mut slot = slot;
                 slot.record_response_start();
-                let Ok(body) = upstream::read_body(&ex, &slot, &mut response).await else {
-                    ex.record_attempt(slot, RequestOutcome::Broken);
-                    if ex.can_rerun() && ex.can_send() {
-                        continue;
+                let body = match upstream::read_body(&ex, &slot, &mut response).await {
+                    Ok(body) => body,
+                    Err(e) => {
+                        ex.record_attempt(slot, e.outcome());
+                        if ex.can_rerun() && ex.can_send() {
+                            continue;
+                        }
+                        let refusal = ex.all_refused(RETRY_AFTER_REFUSALS);
+                        return final_response(&mut ex, failure, refusal);
                     }
-                    let refusal = ex.all_refused(RETRY_AFTER_REFUSALS);
-                    return final_response(&mut ex, failure, refusal);
                 };
                 let failed = response.head.status.is_server_error();
                 ex.record_attempt(
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -254,6 +254,16 @@
     io_error.map(|e| format!("{:?}", e.kind()))
 }
 
+impl BodyError {
+    /// What the endpoint is told apart by: a lack of memory here is not its fault.
+    pub(crate) fn outcome(&self) -> RequestOutcome {
+        match self {
+            Self::NoMemory => RequestOutcome::Unused,
+            _ => RequestOutcome::Broken,
+        }
+    }
+}
+
 /// Reads the complete body of a response and logs why, if that fails.
 pub(crate) async fn read_body(
     ex: &Exchange,
@@ -261,7 +271,7 @@
     response: &mut EndpointResponse,
 ) -> Result<Bytes, BodyError> {
     let limit = ex.gateway.cfg.response_bytes_max;
-    let collect = collect_body(&mut response.body, limit, &ex.gateway.buffers);
+    let collect = collect_body(&mut response.body, limit, &ex.buffers);
     let read = timeout(ex.remaining(), collect).await;
     let mut body = match read {
         None => Err(BodyError::TimedOut),
--- a/crates/net/src/admin.rs
+++ b/crates/net/src/admin.rs
@@ -83,6 +83,9 @@
     }
 }
 
+/// Connections of operators and monitoring at a time; they count among the descriptors that a process keeps free.
+const CONNECTIONS_MAX: usize = 8;
+
 /// Starts the admin server and returns the bound address.
 ///
 /// # Errors
@@ -100,7 +103,8 @@
         let response = respond(&req, token.as_deref(), &state);
         async move { response }
     };
-    serve_http(rt, address, HttpLimits::default(), shutdown, handler).await
+    let limits = HttpLimits { connections_max: CONNECTIONS_MAX, ..HttpLimits::default() };
+    serve_http(rt, address, limits, shutdown, handler).await
 }
 
 fn respond(
--- a/crates/net/src/buffer_budget.rs
+++ b/crates/net/src/buffer_budget.rs
@@ -5,13 +5,15 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
-/// Share of a process's memory for buffered bodies. A growing buffer may take up twice its length, and
-/// connections have buffers of their own.
+use crate::ClientConnection;
+
+/// Share of a process's memory for buffered bodies. Connections have buffers of their own, which the bound on their
+/// number covers.
 const BUFFER_SHARE: usize = 4;
 /// Part of the budget that is kept for small buffers of each kind of length: one in this many.
 const RESERVE_SHARE: usize = 32;
 /// Largest size of a small buffer in bytes.
-const SMALL_BYTES: usize = 64 * 1024;
+pub(crate) const SMALL_BYTES: usize = 64 * 1024;
 /// Part of the free bytes that a buffer of unknown length may hold once a quarter of the budget is used: one
 /// in this many.
 const UNKNOWN_LENGTH_SHARE: usize = 8;
@@ -23,7 +25,11 @@
 /// off by its owner and gives its bytes back. A reserve is left to small buffers, and the last part of it to
 /// those of known length.
 #[derive(Clone, Debug)]
-pub struct BufferBudget(Arc<Bytes>);
+pub struct BufferBudget {
+    bytes: Arc<Bytes>,
+    /// The client for whom bytes are charged.
+    client: Option<Arc<ClientConnection>>,
+}
 
 #[derive(Debug)]
 struct Bytes {
@@ -56,7 +62,7 @@
     /// Creates the budget of a process that may use `memory_mb` megabytes (2^20 bytes) in all.
     pub fn of_process(memory_mb: usize) -> Self {
         let total = memory_mb.saturating_mul(1024 * 1024) / BUFFER_SHARE;
-        Self(Arc::new(Bytes { total, used: AtomicUsize::new(0) }))
+        Self { bytes: Arc::new(Bytes { total, used: AtomicUsize::new(0) }), client: None }
     }
 
     /// The budget of a process that buffers one body at a time, each with a limit of its own.
@@ -64,6 +70,21 @@
         Self::of_process(usize::MAX)
     }
 
+    /// The same budget for bytes that are held for one client, who gives way if they are short.
+    pub fn for_client(&self, client: Option<Arc<ClientConnection>>) -> Self {
+        Self { bytes: self.bytes.clone(), client }
+    }
+
+    /// Bytes in use beyond half of the budget.
+    pub(crate) fn used_beyond_half(&self) -> usize {
+        self.bytes.used.load(Ordering::Relaxed).saturating_sub(self.bytes.total / 2)
+    }
+
+    /// Bytes in use.
+    pub fn used(&self) -> usize {
+        self.bytes.used.load(Ordering::Relaxed)
+    }
+
     /// An empty charge for a buffer.
     pub fn charge(&self, length: Length) -> BufferCharge {
         BufferCharge { budget: self.clone(), length, held: 0 }
@@ -99,18 +120,22 @@
     ///
     /// Fails if the budget has no room for them; the charge stays as it was.
     pub fn resize(&mut self, len: usize) -> Result<(), BudgetUsedUp> {
-        let Bytes { used, .. } = &*self.budget.0;
+        let Bytes { used, .. } = &*self.budget.bytes;
         if len <= self.held {
             used.fetch_sub(self.held - len, Ordering::Relaxed);
         } else {
             let more = len - self.held;
             let before = used.fetch_add(more, Ordering::Relaxed);
-            if !self.budget.0.has_room(self.length, len, before.saturating_add(more)) {
+            if !self.budget.bytes.has_room(self.length, len, before.saturating_add(more)) {
                 used.fetch_sub(more, Ordering::Relaxed);
                 metrics::counter!("crocustally_buffers_refused").increment(1);
                 return Err(BudgetUsedUp);
             }
         }
+        if let Some(client) = &self.budget.client {
+            client.remove_held(self.held);
+            client.add_held(len);
+        }
         self.held = len;
         Ok(())
     }
@@ -118,6 +143,9 @@
 
 impl Drop for BufferCharge {
     fn drop(&mut self) {
-        self.budget.0.used.fetch_sub(self.held, Ordering::Relaxed);
+        self.budget.bytes.used.fetch_sub(self.held, Ordering::Relaxed);
+        if let Some(client) = &self.budget.client {
+            client.remove_held(self.held);
+        }
     }
 }
--- a/crates/net/src/collect_body.rs
+++ b/crates/net/src/collect_body.rs
@@ -3,7 +3,6 @@
 use std::fmt;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use hyper::body::Incoming;
@@ -11,6 +10,7 @@
 use crate::BufferBudget;
 use crate::buffer_budget::BufferCharge;
 use crate::buffer_budget::Length;
+use crate::buffer_budget::SMALL_BYTES;
 
 /// Why a body was not read to its end.
 #[derive(Debug)]
@@ -37,7 +37,7 @@
 
 /// A collected body and its charge, which lasts until the last reference is dropped.
 struct Collected {
-    body: BytesMut,
+    body: Vec<u8>,
     _charge: BufferCharge,
 }
 
@@ -47,8 +47,8 @@
     }
 }
 
-/// Reads a body of at most `limit` bytes; trailers are dropped. The bytes are charged to `budget` as
-/// they arrive, until the returned buffer and all its clones are dropped.
+/// Reads a body of at most `limit` bytes; trailers are dropped. The buffer is charged to `budget` as
+/// it grows, until the returned buffer and all its clones are dropped.
 ///
 /// # Errors
 ///
@@ -60,7 +60,7 @@
     budget: &BufferBudget,
 ) -> Result<Bytes, CollectError> {
     // Copied, since each small chunk that is kept costs many times its length.
-    let mut collected = BytesMut::new();
+    let mut collected: Vec<u8> = Vec::new();
     let known_len = body.size_hint().exact().and_then(|n| usize::try_from(n).ok());
     if known_len.is_some_and(|n| n > limit) {
         return Err(CollectError::TooLong);
@@ -73,7 +73,14 @@
         if len > limit {
             return Err(CollectError::TooLong);
         }
-        charge.resize(len).map_err(|_| CollectError::NoMemory)?;
+        if len > collected.capacity() {
+            // Grows by doubling. A buffer of the announced length from the start would cost all of it where the
+            // allocator reuses pages, although most such bodies of uncontrolled clients do not come whole.
+            let doubled = if len <= SMALL_BYTES { (2 * len).min(SMALL_BYTES) } else { 2 * len };
+            let capacity = doubled.min(known_len.unwrap_or(limit)).max(len);
+            charge.resize(capacity).map_err(|_| CollectError::NoMemory)?;
+            collected.reserve_exact(capacity - collected.len());
+        }
         collected.extend_from_slice(&data);
     }
     Ok(Bytes::from_owner(Collected { body: collected, _charge: charge }))
--- a/crates/net/src/http_client.rs
+++ b/crates/net/src/http_client.rs
@@ -21,6 +21,7 @@
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
+use rustix::io::Errno;
 use smol_hyper::rt::FuturesIo;
 
 use crate::Runtime;
@@ -34,6 +35,10 @@
 /// some thousand connections has to hold one for each.
 const READ_BUFFER_MAX: usize = 16 * 1024;
 
+/// Idle connections kept for one address: more than the slots of an endpoint. Requests that always open a connection
+/// of their own would otherwise add one each.
+const IDLE_MAX: usize = 12;
+
 /// Interim responses (1xx) that may come before the response to one request; servers send one or two.
 const INTERIM_RESPONSES_MAX: u32 = 16;
 
@@ -246,11 +251,11 @@
         }
         let since = Instant::now();
         let expires_at = since + time.min(self.cfg.idle_timeout);
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner).push(IdleConnection {
-            conn,
-            since,
-            expires_at,
-        });
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.retain(|c| c.expires_at > since && !c.conn.tx.is_closed());
+        if idle.len() < IDLE_MAX {
+            idle.push(IdleConnection { conn, since, expires_at });
+        }
     }
 
     /// Closes all idle connections. Once one connection has stopped responding, the others likely
@@ -277,6 +282,7 @@
             Some(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => {
                 return Err(HttpError::Refused);
             }
+            Some(Err(e)) if is_out_of_descriptors(&e) => return Err(HttpError::NotSent),
             Some(Err(_)) | None => return Err(HttpError::Unreachable),
         };
         let _ = stream.set_nodelay(true);
@@ -296,3 +302,8 @@
         Ok(HttpConnection { tx, responses: 0, broken, _io: io })
     }
 }
+
+/// Whether this process has no descriptor left, which says nothing about the address.
+fn is_out_of_descriptors(e: &std::io::Error) -> bool {
+    matches!(Errno::from_io_error(e), Some(Errno::MFILE | Errno::NFILE))
+}
--- a/crates/net/src/http_server.rs
+++ b/crates/net/src/http_server.rs
@@ -2,13 +2,17 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Weak;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_net::TcpListener;
 use async_net::TcpStream;
 use bytes::Bytes;
 use crocustally_core::Code;
 use crocustally_core::Ran;
+use futures_lite::AsyncReadExt;
 use futures_lite::AsyncWriteExt;
 use futures_lite::FutureExt;
 use http_body_util::BodyExt;
@@ -23,8 +27,13 @@
 use smol_hyper::rt::FuturesIo;
 use smol_hyper::rt::SmolTimer;
 
+use crate::ClientConnection;
+use crate::ClientConnections;
 use crate::Runtime;
 use crate::Shutdown;
+use crate::client_connections::OpenConnection;
+use crate::client_io::ClientIo;
+use crate::client_io::PacedBody;
 use crate::coded_io::CodedIo;
 use crate::coded_io::RUN_HEADER;
 use crate::coded_io::raw_error_response;
@@ -38,6 +47,21 @@
 /// Connections of callers that acknowledge no data for this long are closed.
 const CALLER_ACK_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time without progress of a client's connection after which it is closed. Callers that are cut off, and those that
+/// wait as long as the longest route allows (8 s), have given up by then.
+const STALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Interval at which connections without progress are looked for.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+/// Sweeps between two log lines about closed connections.
+const SWEEPS_PER_LOG_LINE: u32 = 8;
+/// Pause before the next look for a free place while all connections wait for their responses.
+const ROOM_INTERVAL: Duration = Duration::from_millis(10);
+/// Time for a refusal to a client whose body has not ended, before its connection is closed.
+const REFUSAL_TIME: Duration = Duration::from_millis(250);
+/// Time for which the rest of a refused body is read and dropped. Closing a connection with unread data resets it,
+/// and the client may lose the refusal.
+const LINGER_TIME: Duration = Duration::from_millis(250);
+
 /// Limits on requests, and the behaviour of a server at errors and shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HttpLimits {
@@ -51,6 +75,10 @@
     pub body_timeout: Duration,
     /// Whether error responses of the HTTP library itself get a numbered code.
     pub coded_errors: bool,
+    /// Maximum number of connections; one that is idle or makes no progress gives way to a new one.
+    pub connections_max: usize,
+    /// Time after which a connection is closed whose client neither sends the rest of a body nor takes a response.
+    pub stall_timeout: Duration,
     /// Time after the shutdown is requested during which connections and requests are still
     /// accepted.
     pub drain_delay: Duration,
@@ -64,6 +92,8 @@
             header_timeout: Duration::from_secs(5),
             body_timeout: Duration::from_secs(10),
             coded_errors: true,
+            connections_max: usize::MAX,
+            stall_timeout: STALL_TIMEOUT,
             drain_delay: Duration::ZERO,
         }
     }
@@ -108,6 +138,28 @@
     shutdown: &Shutdown,
     handler: H,
 ) -> std::io::Result<SocketAddr>
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<ResponseBody>> + Send + 'static,
+{
+    let conns = ClientConnections::new(limits.connections_max, limits.stall_timeout, None);
+    serve_http_with(rt, address, limits, conns, shutdown, handler).await
+}
+
+/// As [`serve_http`], with connections that the caller has a part in: each request carries its
+/// [`crate::ClientConnection`] as an extension.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub async fn serve_http_with<H, F>(
+    rt: &Runtime,
+    address: SocketAddr,
+    limits: HttpLimits,
+    conns: Arc<ClientConnections>,
+    shutdown: &Shutdown,
+    handler: H,
+) -> std::io::Result<SocketAddr>
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
@@ -115,19 +167,24 @@
     let listener = TcpListener::bind(address).await?;
     let bound = listener.local_addr()?;
     let (runtime, shutdown) = (rt.clone(), shutdown.clone());
+    rt.spawn(sweep(Arc::downgrade(&conns)));
     rt.spawn(async move {
         loop {
             let shutting_down = async {
                 shutdown.wait_elapsed(limits.drain_delay).await;
                 None
             };
-            let accepted = async { Some(listener.accept().await) };
+            let accepted = async { Some(accept(&listener, &conns).await) };
             match accepted.or(shutting_down).await {
-                Some(Ok((stream, _))) => {
-                    let conn = serve_connection(stream, limits, shutdown.clone(), handler.clone());
-                    runtime.spawn(conn);
+                Some(Ok((stream, conn))) => {
+                    let (shutdown, handler) = (shutdown.clone(), handler.clone());
+                    runtime.spawn(serve_connection(stream, conn, limits, shutdown, handler));
+                }
+                Some(Err(_)) => {
+                    // Without a free descriptor, one has to be made free.
+                    conns.make_room();
+                    crate::sleep(ROOM_INTERVAL).await;
                 }
-                Some(Err(_)) => crate::sleep(Duration::from_millis(10)).await,
                 None => return,
             }
         }
@@ -135,8 +192,56 @@
     Ok(bound)
 }
 
+/// Accepts a connection and waits until there is a place for it.
+async fn accept(
+    listener: &TcpListener,
+    conns: &Arc<ClientConnections>,
+) -> std::io::Result<(TcpStream, OpenConnection)> {
+    let (stream, peer) = listener.accept().await?;
+    while !conns.has_room() {
+        conns.make_room();
+        crate::sleep(ROOM_INTERVAL).await;
+    }
+    Ok((stream, conns.insert(peer.ip())))
+}
+
+/// Closes connections without progress until the server has ended.
+async fn sweep(conns: Weak<ClientConnections>) {
+    for n in 1u32.. {
+        let slept_at = Instant::now();
+        crate::sleep(SWEEP_INTERVAL).await;
+        let Some(conns) = conns.upgrade() else { return };
+        // After a pause of this process, bytes that have come meanwhile are read first.
+        if slept_at.elapsed() < 2 * SWEEP_INTERVAL {
+            conns.sweep();
+        }
+        if n.is_multiple_of(SWEEPS_PER_LOG_LINE) {
+            conns.log_closed();
+        }
+    }
+}
+
+/// Completes when a connection has to give way. A client whose body is being read gets a response first.
+async fn give_way(conn: &ClientConnection) {
+    conn.closing().await;
+    if conn.has_unread_body() {
+        crate::sleep(REFUSAL_TIME).await;
+    }
+}
+
+/// Lets a client read a refusal although it still sends a body.
+async fn linger(mut stream: TcpStream) {
+    let _ = stream.shutdown(std::net::Shutdown::Write);
+    let drain = async {
+        let mut buf = [0; 8 * 1024];
+        while stream.read(&mut buf).await.is_ok_and(|n| n > 0) {}
+    };
+    let _ = crate::timeout(LINGER_TIME, drain).await;
+}
+
 async fn serve_connection<H, F>(
     stream: TcpStream,
+    open: OpenConnection,
     limits: HttpLimits,
     shutdown: Shutdown,
     handler: H,
@@ -148,15 +253,21 @@
     set_ack_timeout(&stream, CALLER_ACK_TIMEOUT);
     let mut raw = stream.clone();
     let _guard = shutdown.track_connection();
-    let caller = stream.clone();
-    let call = service_fn(move |req: Request<Incoming>| {
+    let (caller, conn) = (stream.clone(), open.conn.clone());
+    let call = service_fn(move |mut req: Request<Incoming>| {
         // A body without a known length ends with its connection for these callers, so only a reset
         // tells one that was broken off from a whole one; also if this process is killed.
         if req.version() == Version::HTTP_10 {
             set_reset_on_close(&caller);
         }
-        let response = handler(req);
-        async move { Ok::<_, std::convert::Infallible>(response.await) }
+        conn.begin_request();
+        req.extensions_mut().insert(conn.clone());
+        let (response, conn) = (handler(req), conn.clone());
+        async move {
+            let response = response.await;
+            conn.begin_response();
+            Ok::<_, std::convert::Infallible>(response.map(|body| PacedBody::new(body, conn)))
+        }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -164,20 +275,31 @@
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.header_bytes.max(8 * 1024))
         .half_close(false);
-    let io = CodedIo::new(FuturesIo::new(stream), limits.coded_errors);
+    let io =
+        CodedIo::new(FuturesIo::new(ClientIo::new(stream, open.conn.clone())), limits.coded_errors);
     let mut serving = std::pin::pin!(builder.serve_connection(io, call));
-    let shutting_down = async {
-        shutdown.wait_elapsed(limits.drain_delay).await;
-        None
-    };
-    let first = async { Some(serving.as_mut().await) }.or(shutting_down).await;
-    let result = match first {
-        Some(result) => result,
-        None => {
-            serving.as_mut().graceful_shutdown();
-            serving.as_mut().await
+    let served = async {
+        let shutting_down = async {
+            shutdown.wait_elapsed(limits.drain_delay).await;
+            None
+        };
+        let first = async { Some(serving.as_mut().await) }.or(shutting_down).await;
+        match first {
+            Some(result) => Some(result),
+            None => {
+                serving.as_mut().graceful_shutdown();
+                Some(serving.as_mut().await)
+            }
         }
     };
+    let gave_way = async {
+        give_way(&open.conn).await;
+        None
+    };
+    let Some(result) = served.or(gave_way).await else { return };
+    if open.conn.has_unread_body() {
+        return linger(raw).await;
+    }
     if result.is_ok() {
         clear_reset_on_close(&raw);
     }
