Gateway: a new connection has time to send its request before it gives way

Cause: while all older connections waited for their responses, new ones closed each other unheard; bodies of callers still grew by doubling. Change: a connection gives way after 250 ms without progress at the earliest; callers' bodies are collected in blocks.

--- a/crates/net/src/buffer_budget.rs
+++ b/crates/net/src/buffer_budget.rs
@@ -13,7 +13,7 @@
 /// Part of the budget that is kept for small buffers of each kind of length: one in this many.
 const RESERVE_SHARE: usize = 32;
 /// Largest size of a small buffer in bytes.
-pub(crate) const SMALL_BYTES: usize = 64 * 1024;
+const SMALL_BYTES: usize = 64 * 1024;
 /// Part of the free bytes that a buffer of unknown length may hold once a quarter of the budget is used: one
 /// in this many.
 const UNKNOWN_LENGTH_SHARE: usize = 8;
--- a/crates/net/src/client_connections.rs
+++ b/crates/net/src/client_connections.rs
@@ -34,6 +34,9 @@
 /// inside the deployment pauses for less.
 const YIELD_TIME: Duration = Duration::from_millis(1000);
 
+/// Time that a client has to send its request, or to go on, before its connection may be closed to make room. Without
+/// it, new connections would close each other unheard while all older ones wait for their responses.
+const SENDING_TIME: Duration = Duration::from_millis(250);
 /// Connections that may be closed to make room at a time: some take the time of a refusal to be gone.
 const CLOSING_MAX: usize = 8;
 
@@ -326,7 +329,10 @@
             if open.values().filter(|c| c.state().closing).count() >= CLOSING_MAX {
                 return;
             }
-            let candidates = open.values().filter_map(|c| Some((c.without_progress_since()?, c)));
+            let candidates = open
+                .values()
+                .filter_map(|c| Some((c.without_progress_since()?, c)))
+                .filter(|(since, _)| since.elapsed() >= SENDING_TIME);
             candidates.min_by_key(|(since, _)| *since).map(|(_, c)| c.clone())
         };
         if let Some(conn) = victim {
--- a/crates/net/src/collect_body.rs
+++ b/crates/net/src/collect_body.rs
@@ -19,7 +19,6 @@
 use crate::ResponseBody;
 use crate::buffer_budget::BufferCharge;
 use crate::buffer_budget::Length;
-use crate::buffer_budget::SMALL_BYTES;
 
 /// Why a body was not read to its end.
 #[derive(Debug)]
@@ -46,7 +45,7 @@
 
 /// A collected body and its charge, which lasts until the last reference is dropped.
 struct Collected {
-    body: Vec<u8>,
+    body: Bytes,
     _charge: BufferCharge,
 }
 
@@ -68,37 +67,27 @@
     limit: usize,
     budget: &BufferBudget,
 ) -> Result<Bytes, CollectError> {
-    // Copied, since each small chunk that is kept costs many times its length.
-    let mut collected: Vec<u8> = Vec::new();
-    let known_len = body.size_hint().exact().and_then(|n| usize::try_from(n).ok());
-    if known_len.is_some_and(|n| n > limit) {
-        return Err(CollectError::TooLong);
+    let BlockBody { mut blocks, len, charge } = collect_blocks(body, limit, budget).await?;
+    if blocks.len() == 1
+        && let Some(body) = blocks.pop_front()
+    {
+        return Ok(Bytes::from_owner(Collected { body, _charge: charge }));
     }
-    let length = if known_len.is_some() { Length::Known } else { Length::Unknown };
-    let mut charge = budget.charge(length);
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(CollectError::Broken)?.into_data() else { continue };
-        let len = collected.len() + data.len();
-        if len > limit {
-            return Err(CollectError::TooLong);
-        }
-        if len > collected.capacity() {
-            // Grows by doubling. A buffer of the announced length from the start would cost all of it where the
-            // allocator reuses pages, although most such bodies of uncontrolled clients do not come whole.
-            let doubled = if len <= SMALL_BYTES { (2 * len).min(SMALL_BYTES) } else { 2 * len };
-            let capacity = doubled.min(known_len.unwrap_or(limit)).max(len);
-            charge.resize(capacity).map_err(|_| CollectError::NoMemory)?;
-            collected.reserve_exact(capacity - collected.len());
-        }
-        collected.extend_from_slice(&data);
+    // Each block is given back once it is copied, so both together take little more than one of them.
+    let mut whole = Vec::with_capacity(len);
+    while let Some(block) = blocks.pop_front() {
+        whole.extend_from_slice(&block);
     }
-    Ok(Bytes::from_owner(Collected { body: collected, _charge: charge }))
+    Ok(Bytes::from_owner(Collected { body: whole.into(), _charge: charge }))
 }
 
 /// Size of the blocks of a [`BlockBody`] in bytes. Buffers that double leave free pieces of all sizes behind, which cost
 /// a gateway of 40 MB a third of its memory; blocks of one size are used again.
 const BLOCK_BYTES: usize = 32 * 1024;
 
+/// Size of the first block of a body whose length is not announced.
+const FIRST_BLOCK_BYTES: usize = 4 * 1024;
+
 /// A collected body in blocks. A block is given back, and its charge, once it has been taken.
 #[derive(Debug)]
 pub struct BlockBody {
@@ -156,6 +145,7 @@
     }
     let length = if known_len.is_some() { Length::Known } else { Length::Unknown };
     let mut charge = budget.charge(length);
+    // Copied, since each small chunk that is kept costs many times its length.
     let (mut blocks, mut last) = (VecDeque::new(), BytesMut::new());
     // Bytes that have come, and those of full blocks.
     let (mut len, mut held) = (0, 0);
@@ -171,7 +161,8 @@
                     held += last.len();
                     blocks.push_back(last.split().freeze());
                 }
-                let capacity = known_len.map_or(BLOCK_BYTES, |n| (n - held).min(BLOCK_BYTES));
+                let most = if held == 0 { FIRST_BLOCK_BYTES } else { BLOCK_BYTES };
+                let capacity = known_len.map_or(most, |n| (n - held).min(BLOCK_BYTES));
                 charge.resize(held + capacity).map_err(|_| CollectError::NoMemory)?;
                 last = BytesMut::with_capacity(capacity);
             }
