Net: a bound on idle connections by setting; gauge of the budget's bytes in use

Cause: the bound of 12 idle connections for an address held for all clients, of which agents send more at once. Change: HttpClientSettings::idle_max, without a bound by default; gateways set 12.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -68,6 +68,9 @@
 /// Longest time for which an idle connection to an endpoint is kept. The path may have gone silent
 /// since its last response.
 const ENDPOINT_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Idle connections kept for one endpoint: more than the slots of an endpoint. Requests that always open a connection
+/// of their own would otherwise add one each.
+const ENDPOINT_IDLE_MAX: usize = 12;
 /// Time for which a stopping gateway keeps accepting connections: the platform redirects callers
 /// after two missed health checks, one second apart.
 const SHUTDOWN_DRAIN_DELAY: Duration = Duration::from_millis(2500);
@@ -382,6 +385,7 @@
             let cfg = HttpClientSettings {
                 connect_timeout: ENDPOINT_CONNECT_TIMEOUT,
                 idle_timeout: ENDPOINT_IDLE_TIMEOUT,
+                idle_max: ENDPOINT_IDLE_MAX,
                 abandonment: Abandonment::OwnerReset,
             };
             Arc::new(HttpClient::with_settings(&self.rt, address, cfg))
--- a/crates/net/src/client_connections.rs
+++ b/crates/net/src/client_connections.rs
@@ -360,6 +360,9 @@
                 self.close(conn, cause);
             }
         }
+        if let Some(budget) = &self.budget {
+            metrics::gauge!("crocustally_buffer_bytes").set(budget.used() as f64);
+        }
         let excess = self.budget.as_ref().map_or(0, BufferBudget::used_beyond_half);
         if excess > 0 {
             self.reclaim(now, &open, excess);
--- a/crates/net/src/http_client.rs
+++ b/crates/net/src/http_client.rs
@@ -35,10 +35,6 @@
 /// some thousand connections has to hold one for each.
 const READ_BUFFER_MAX: usize = 16 * 1024;
 
-/// Idle connections kept for one address: more than the slots of an endpoint. Requests that always open a connection
-/// of their own would otherwise add one each.
-const IDLE_MAX: usize = 12;
-
 /// Interim responses (1xx) that may come before the response to one request; servers send one or two.
 const INTERIM_RESPONSES_MAX: u32 = 16;
 
@@ -49,6 +45,8 @@
     pub connect_timeout: Duration,
     /// Maximum time that an idle connection is kept in the pool.
     pub idle_timeout: Duration,
+    /// Maximum number of idle connections in the pool.
+    pub idle_max: usize,
     /// How a connection is given up that the server no longer acknowledges.
     pub abandonment: Abandonment,
 }
@@ -69,6 +67,7 @@
         Self {
             connect_timeout: Duration::from_millis(1000),
             idle_timeout: Duration::from_secs(60),
+            idle_max: usize::MAX,
             abandonment: Abandonment::KernelTimeout(Duration::from_secs(3)),
         }
     }
@@ -253,7 +252,7 @@
         let expires_at = since + time.min(self.cfg.idle_timeout);
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|c| c.expires_at > since && !c.conn.tx.is_closed());
-        if idle.len() < IDLE_MAX {
+        if idle.len() < self.cfg.idle_max {
             idle.push(IdleConnection { conn, since, expires_at });
         }
     }
