--- a/crates/net/src/http_client.rs
+++ b/crates/net/src/http_client.rs
@@ -21,6 +21,7 @@
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
+use rustix::io::Errno;
 use smol_hyper::rt::FuturesIo;
 
 use crate::Runtime;
@@ -313,6 +314,7 @@
             Some(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => {
                 return Err(HttpError::Refused);
             }
+            Some(Err(e)) if is_out_of_descriptors(&e) => return Err(HttpError::NotSent),
             Some(Err(_)) | None => return Err(HttpError::Unreachable),
         };
         let _ = stream.set_nodelay(true);
@@ -338,3 +340,8 @@
     let surplus = idle.len().saturating_sub(keep);
     idle.drain(..surplus).collect()
 }
+
+/// Whether this process has no descriptor left, which says nothing about the address.
+fn is_out_of_descriptors(e: &std::io::Error) -> bool {
+    matches!(Errno::from_io_error(e), Some(Errno::MFILE | Errno::NFILE))
+}
