Limits on connections, calls and feeds of control instances, entries and agents

Cause: a gRPC server took any number of connections, also such that never make a call, and messages that stop short were kept. An entry kept bodies of callers without a budget. A feed reserved a queue of 256 updates, and each reader of the policy had two copies of it.

Change: a gRPC server takes peer_connections_max connections; at the bound one without an open call gives way. Messages are charged to a budget and refused without progress for 10 s, before they are executed. Entries and agents have memory_mb, and entries charge bodies to its budget. Feeds are bounded by gateway and by memory, and closing one empties its queue. Readers share one text of the policy, and responses are copied slice by slice.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -11,11 +11,13 @@
 use crocustally_core::agent::Admission;
 use crocustally_core::agent::AttemptRegistry;
 use crocustally_core::routing::Load;
+use crocustally_net::BufferBudget;
 use crocustally_net::Clock;
+use crocustally_net::GrpcLimits;
 use crocustally_net::HttpClient;
 use crocustally_net::Runtime;
 use crocustally_net::Shutdown;
-use crocustally_net::serve_grpc;
+use crocustally_net::serve_grpc_within;
 use crocustally_wire::agent_server::AgentServer;
 
 use crate::AgentSettings;
@@ -81,7 +83,12 @@
             cfg,
         });
         let server = AgentServer::new(AgentService::new(agent.clone()));
-        let bound_address = serve_grpc(rt, agent.cfg.listen, server, &shutdown).await?;
+        let limits = GrpcLimits {
+            connections: agent.cfg.peer_connections_max,
+            budget: BufferBudget::of_process(agent.cfg.memory_mb),
+        };
+        let bound_address =
+            serve_grpc_within(rt, agent.cfg.listen, limits, server, &shutdown).await?;
         rt.spawn(health::probe_periodically(agent.clone()));
         announce::start(&agent, agent.cfg.advertise.unwrap_or(bound_address));
         Ok((agent, bound_address))
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -6,6 +6,7 @@
 use crocustally_core::agent::AdmissionLimits;
 use crocustally_core::control::ServiceKind;
 use crocustally_net::AdminSettings;
+use crocustally_net::GrpcLimits;
 use crocustally_net::LogFormat;
 use crocustally_net::SettingsError;
 use crocustally_net::parse_address;
@@ -41,6 +42,13 @@
     /// Upper bound on concurrent requests.
     #[serde(default = "default_max")]
     pub max_limit: u32,
+    /// Memory that the process may use, in megabytes (2^20 bytes); a quarter of it is for messages of
+    /// entries that are being received.
+    #[serde(default = "default_memory")]
+    pub memory_mb: usize,
+    /// Connections of entries that may be open; a quarter of the descriptors of the process if absent.
+    #[serde(default)]
+    pub peer_connections_max: Option<usize>,
     /// Number of worker threads.
     #[serde(default = "default_threads")]
     pub threads: usize,
@@ -60,6 +68,11 @@
     AdmissionLimits::default().max
 }
 
+/// As for a gateway.
+fn default_memory() -> usize {
+    260
+}
+
 fn default_threads() -> usize {
     2
 }
@@ -87,6 +100,10 @@
     pub entries: Vec<SocketAddr>,
     /// Bounds of the admission limit.
     pub limits: AdmissionLimits,
+    /// Memory that the process may use, in megabytes (2^20 bytes).
+    pub memory_mb: usize,
+    /// Connections of entries that may be open.
+    pub peer_connections_max: usize,
     /// Number of worker threads.
     pub threads: usize,
     /// Format of log lines.
@@ -113,6 +130,12 @@
         if raw.start_limit > raw.max_limit {
             return Err(SettingsError::invalid("start_limit", "is above max_limit"));
         }
+        if raw.memory_mb == 0 {
+            return Err(SettingsError::invalid("memory_mb", "must be 1 or more"));
+        }
+        if raw.peer_connections_max == Some(0) {
+            return Err(SettingsError::invalid("peer_connections_max", "must be 1 or more"));
+        }
         if raw.threads == 0 {
             return Err(SettingsError::invalid("threads", "must be 1 or more"));
         }
@@ -139,6 +162,10 @@
             engine,
             entries,
             limits: AdmissionLimits { initial: raw.start_limit, max: raw.max_limit },
+            memory_mb: raw.memory_mb,
+            peer_connections_max: raw
+                .peer_connections_max
+                .unwrap_or_else(GrpcLimits::default_connections),
             threads: raw.threads,
             log: raw.log,
             admin: raw.admin.map(|a| a.resolve()).transpose()?,
--- a/crates/agent/tests/close_delimited.rs
+++ b/crates/agent/tests/close_delimited.rs
@@ -78,6 +78,8 @@
         entries: vec!["127.0.0.1:1".to_owned()],
         start_limit: 4,
         max_limit: 4,
+        memory_mb: 260,
+        peer_connections_max: None,
         threads: 1,
         log: Default::default(),
         admin: None,
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -153,7 +153,7 @@
                 log::info!("read of the policy refused: there is none yet");
                 ControlResponse::Unavailable
             }
-            Ok(Some(OutcomeKind::Policy(p))) => match p.text() {
+            Ok(Some(OutcomeKind::Policy(p))) => match self.policy_text(&p) {
                 Ok(text) => ControlResponse::Policy(text),
                 Err(e) => {
                     log::error!(version = p.version; "policy document unusable: {e}");
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -10,6 +10,7 @@
 use std::time::Instant;
 
 use async_channel::Receiver;
+use bytes::Bytes;
 use crocustally_core::Code;
 use crocustally_core::control::PromptPart;
 use crocustally_core::control::StateMachine;
@@ -23,11 +24,12 @@
 use crocustally_log::ReplicaService;
 use crocustally_net::BufferBudget;
 use crocustally_net::Clock;
+use crocustally_net::GrpcLimits;
 use crocustally_net::HttpLimits;
 use crocustally_net::Runtime;
 use crocustally_net::ServicePair;
 use crocustally_net::Shutdown;
-use crocustally_net::serve_grpc;
+use crocustally_net::serve_grpc_within;
 use crocustally_net::serve_http;
 use crocustally_net::sleep;
 use crocustally_net::timeout;
@@ -35,6 +37,8 @@
 use crocustally_wire::LiftRequest;
 use crocustally_wire::MESSAGE_BYTES_MAX;
 use crocustally_wire::POLICY_BYTES_MAX;
+use crocustally_wire::PolicyBodyError;
+use crocustally_wire::PolicyDocument;
 use crocustally_wire::RankOrders;
 use crocustally_wire::RankReport;
 use crocustally_wire::TrialRequest;
@@ -60,8 +64,6 @@
 /// Interval between batched updates to subscribers. Gateways route by the load of ranks, so it has
 /// to stay short.
 const FLUSH_PERIOD: Duration = Duration::from_millis(100);
-/// Updates that may be queued for one subscriber.
-const UPDATES_QUEUED_MAX: usize = 256;
 /// Time without a message of its replica after which an instance coordinates no more groups. Replicas
 /// answer the leader's heartbeats several times as often.
 const PEER_RESPONSE_TIME: Duration = Duration::from_millis(800);
@@ -88,6 +90,8 @@
     delegation: Mutex<Delegation>,
     /// The applied policy, decoded; `None` before the first usable one.
     policy: RwLock<Option<Arc<TrafficPolicy>>>,
+    /// The text last read by an operator, shared by all responses with it, and its version.
+    policy_text: Mutex<Option<(u64, Bytes)>>,
 }
 
 /// Addresses on which a started control instance listens.
@@ -118,11 +122,12 @@
             log,
             dialect,
             state_machine: RwLock::new(Arc::new(StateMachine::default())),
-            soft_state: Mutex::new(SoftState::default()),
+            soft_state: Mutex::new(SoftState::new(cfg.memory_mb)),
             crash_reports: CrashReports::default(),
             coordinator: Mutex::new(Coordinator::new(cfg.copy_time)),
             delegation: Mutex::new(Delegation::default()),
             policy: RwLock::new(None),
+            policy_text: Mutex::new(None),
             buffers: BufferBudget::of_process(cfg.memory_mb),
             cfg,
         });
@@ -139,7 +144,13 @@
             .max_decoding_message_size(MESSAGE_BYTES_MAX);
         let calls = ControlServer::new(ControlService::new(control.clone()));
         let server = ServicePair::new(replica, calls);
-        let peers = serve_grpc(rt, control.cfg.peer_listen, server, &shutdown).await?;
+        // Calls of peers have memory of their own, so that bodies of callers stop no replication.
+        let peer_limits = GrpcLimits {
+            connections: control.cfg.peer_connections_max,
+            budget: BufferBudget::of_process(control.cfg.memory_mb),
+        };
+        let address = control.cfg.peer_listen;
+        let peers = serve_grpc_within(rt, address, peer_limits, server, &shutdown).await?;
         let shared = control.clone();
         let handler = move |req| api::handle_request(shared.clone(), req);
         let limits = HttpLimits { body_bytes: POLICY_BYTES_MAX, ..HttpLimits::default() };
@@ -158,6 +169,19 @@
         policy.as_deref().is_none_or(|p| p.services().iter().any(|s| s.name == name))
     }
 
+    /// The text of a policy document, one copy of which is shared by all readers.
+    pub(crate) fn policy_text(&self, document: &PolicyDocument) -> Result<Bytes, PolicyBodyError> {
+        let mut shared = self.policy_text.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((version, text)) = shared.as_ref()
+            && *version == document.version
+        {
+            return Ok(text.clone());
+        }
+        let text = document.text()?;
+        *shared = Some((document.version, text.clone()));
+        Ok(text)
+    }
+
     /// Whether this instance has applied any of the replicated log.
     pub fn is_ready(&self) -> bool {
         self.state_machine().last_applied() > 0
@@ -204,13 +228,11 @@
 
     /// Adds a subscriber and returns the receiver of its updates, the first of which is complete.
     pub(crate) fn subscribe(&self, name: String) -> Receiver<Update> {
-        let (tx, rx) = async_channel::bounded(UPDATES_QUEUED_MAX);
         let controls = self.log.addresses().iter().map(ToString::to_string).collect();
         // Under the lock, so that a later state is broadcast to this subscriber too.
         let mut soft_state = self.soft_state();
         let initial = Update { controls, ..replicated_part(&self.state_machine()) };
-        soft_state.subscribe(self.clock.now(), &name, tx, initial);
-        rx
+        soft_state.subscribe(self.clock.now(), &name, initial)
     }
 
     /// Sends the policy version and the evacuations to subscribers whenever they change.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,6 +14,7 @@
 mod crash_reports;
 mod departures;
 mod dialect;
+mod feed;
 mod settings;
 mod soft_state;
 
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -9,6 +9,7 @@
 use crocustally_log::LogSettings;
 use crocustally_log::PeerSettings;
 use crocustally_net::AdminSettings;
+use crocustally_net::GrpcLimits;
 use crocustally_net::LogFormat;
 use crocustally_net::SettingsError;
 use crocustally_net::parse_address;
@@ -58,6 +59,10 @@
     /// bodies.
     #[serde(default = "default_memory")]
     pub memory_mb: usize,
+    /// Connections of the system's other processes that may be open; a quarter of the descriptors of
+    /// the process if absent.
+    #[serde(default)]
+    pub peer_connections_max: Option<usize>,
     /// Number of executor threads, besides the thread of the replicated log.
     #[serde(default = "default_threads")]
     pub threads: usize,
@@ -119,6 +124,8 @@
     pub copy_time: Duration,
     /// Memory that the process may use, in megabytes (2^20 bytes).
     pub memory_mb: usize,
+    /// Connections of the system's other processes that may be open.
+    pub peer_connections_max: usize,
     /// Number of executor threads, besides the thread of the replicated log.
     pub threads: usize,
     /// Format of log lines.
@@ -172,6 +179,9 @@
         if raw.memory_mb == 0 {
             return Err(SettingsError::invalid("memory_mb", "must be 1 or more"));
         }
+        if raw.peer_connections_max == Some(0) {
+            return Err(SettingsError::invalid("peer_connections_max", "must be 1 or more"));
+        }
         if raw.threads == 0 {
             return Err(SettingsError::invalid("threads", "must be 1 or more"));
         }
@@ -198,6 +208,9 @@
             data: raw.data,
             copy_time: Duration::from_secs_f64(raw.copy_time_ms / 1e3),
             memory_mb: raw.memory_mb,
+            peer_connections_max: raw
+                .peer_connections_max
+                .unwrap_or_else(GrpcLimits::default_connections),
             threads: raw.threads,
             log: raw.log,
             admin: raw.admin.map(|a| a.resolve()).transpose()?,
--- a/crates/control/src/soft_state.rs
+++ b/crates/control/src/soft_state.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use async_channel::Sender;
+use async_channel::Receiver;
 use bytes::Bytes;
 use crocustally_core::Digest;
 use crocustally_core::dispatch::address_key;
@@ -21,6 +21,8 @@
 use crocustally_wire::Update;
 use prost::Message as _;
 
+use crate::feed::Feeds;
+
 /// Time after which a gateway or the load of a rank expires. A disconnected gateway keeps sending
 /// requests, so its part of the shared budgets stays reserved until then.
 const EXPIRY_TIME: Duration = Duration::from_secs(60);
@@ -35,7 +37,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct SoftState {
     pub(crate) registry: Registry,
-    subscribers: Vec<Sender<Update>>,
+    feeds: Feeds,
     /// When each gateway was last in contact, by its identity.
     gateways: HashMap<u64, Instant>,
     started_at: Option<Instant>,
@@ -56,6 +58,11 @@
 }
 
 impl SoftState {
+    /// Creates the state of a process that may use `memory_mb` megabytes.
+    pub(crate) fn new(memory_mb: usize) -> Self {
+        Self { feeds: Feeds::new(memory_mb), ..Self::default() }
+    }
+
     /// Records a heartbeat. A change is broadcast at once, a mere refresh with the next flush.
     pub(crate) fn record_heartbeat(&mut self, now: Instant, beat: Heartbeat) -> RegistryChange {
         let notice = beat.to_wire(Duration::ZERO);
@@ -109,15 +116,14 @@
         self.broadcast(Update { suspects, ..Update::default() });
     }
 
-    /// Adds a subscriber. Its first update is `initial`, the replicated part, completed with the
-    /// unreplicated state.
+    /// Adds a subscriber and returns the receiver of its updates. The first one is `initial`, the
+    /// replicated part, completed with the unreplicated state.
     pub(crate) fn subscribe(
         &mut self,
         now: Instant,
         name: &str,
-        tx: Sender<Update>,
         mut initial: Update,
-    ) {
+    ) -> Receiver<Update> {
         let id = gateway_id(name);
         self.gateways.insert(id, now);
         let to_wire = |k: &crocustally_core::fleet::Registration| {
@@ -128,10 +134,9 @@
         initial.suspects = self.suspects.iter().cloned().collect();
         initial.gateways = self.gateways.keys().copied().collect();
         initial.gateways_complete = self.gateways_listed_at.is_some();
-        let _ = tx.try_send(initial);
         // The new subscriber knows itself.
         self.broadcast(Update { gateways: vec![id], ..Update::default() });
-        self.subscribers.push(tx);
+        self.feeds.open(id, initial)
     }
 
     /// Records contact with a gateway.
@@ -178,19 +183,9 @@
         self.gateways.keys().copied().collect()
     }
 
-    /// Queues an update for every subscriber. One whose queue is full is disconnected and has to
-    /// subscribe again.
+    /// Queues an update for every subscriber.
     pub(crate) fn broadcast(&mut self, update: Update) {
-        self.subscribers.retain(|tx| {
-            let sent = tx.try_send(update.clone());
-            if let Err(e) = &sent
-                && e.is_full()
-            {
-                log::warn!("subscriber disconnected: its update queue is full");
-                tx.close();
-            }
-            sent.is_ok()
-        });
+        self.feeds.broadcast(&update);
     }
 
     /// Number of gateways that follow this instance or did so lately.
@@ -200,7 +195,7 @@
 
     /// Number of connected subscribers.
     pub(crate) fn subscribers(&self) -> usize {
-        self.subscribers.len()
+        self.feeds.len()
     }
 
     /// Encodes the loads that satisfy `include`, once for all subscribers.
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -19,12 +19,14 @@
 use crocustally_core::routing::ServiceRouter;
 use crocustally_log::LogHandle;
 use crocustally_log::ReplicaService;
+use crocustally_net::BufferBudget;
 use crocustally_net::Channel;
 use crocustally_net::Clock;
+use crocustally_net::GrpcLimits;
 use crocustally_net::Runtime;
 use crocustally_net::ServicePair;
 use crocustally_net::Shutdown;
-use crocustally_net::serve_grpc;
+use crocustally_net::serve_grpc_within;
 use crocustally_net::serve_http;
 use crocustally_wire::MESSAGE_BYTES_MAX;
 use crocustally_wire::entry_server::EntryServer;
@@ -60,6 +62,8 @@
     pub(crate) shutdown: Shutdown,
     pub(crate) log: LogHandle,
     pub(crate) burn: BurnCounters,
+    /// Memory for the bodies of callers.
+    pub(crate) buffers: BufferBudget,
     config: RwLock<Arc<Config>>,
     suspects: RwLock<Suspects>,
     shards: RwLock<HashMap<String, Arc<Shard>>>,
@@ -101,6 +105,7 @@
             shutdown: shutdown.clone(),
             log,
             burn: BurnCounters::default(),
+            buffers: BufferBudget::of_process(cfg.memory_mb),
             config: RwLock::new(Arc::new(Config::default())),
             suspects: RwLock::new(Suspects::default()),
             shards: RwLock::new(HashMap::new()),
@@ -126,7 +131,13 @@
             .max_decoding_message_size(MESSAGE_BYTES_MAX);
         let peer_calls = EntryServer::new(PeerService::new(entry.clone()));
         let server = ServicePair::new(replica, peer_calls);
-        let peers = serve_grpc(rt, entry.cfg.peer_listen, server, &shutdown).await?;
+        // Calls of peers have memory of their own, so that bodies of callers stop no replication.
+        let peer_limits = GrpcLimits {
+            connections: entry.cfg.peer_connections_max,
+            budget: BufferBudget::of_process(entry.cfg.memory_mb),
+        };
+        let address = entry.cfg.peer_listen;
+        let peers = serve_grpc_within(rt, address, peer_limits, server, &shutdown).await?;
         let shared = entry.clone();
         let handler = move |req| front::handle_request(shared.clone(), req);
         let limits = entry.cfg.limits;
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -8,15 +8,14 @@
 use crocustally_core::Code;
 use crocustally_core::Ran;
 use crocustally_core::control::ServiceKind;
+use crocustally_net::CollectError;
 use crocustally_net::RUN_HEADER;
 use crocustally_net::ResponseBody;
 use crocustally_net::coded_response;
-use crocustally_net::full_body;
+use crocustally_net::collect_body;
+use crocustally_net::sliced_body;
 use crocustally_net::timeout;
 use crocustally_wire::Whole;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -96,7 +95,7 @@
     if body.size_hint().lower() > limits.body_bytes as u64 {
         return Err(Code::BodyTooLarge);
     }
-    let body = read_body(body, limits.body_bytes, limits.body_timeout).await?;
+    let body = read_body(entry, body).await?;
     if service.kind == ServiceKind::Model && parts.method != hyper::Method::POST {
         return Err(Code::MalformedBody);
     }
@@ -107,13 +106,18 @@
     headers.iter().map(|(n, v)| n.as_str().len() + v.len()).sum()
 }
 
-async fn read_body(body: Incoming, bytes_max: usize, time_max: Duration) -> Result<Bytes, Code> {
-    let collected = timeout(time_max, Limited::new(body, bytes_max).collect()).await;
-    match collected {
+async fn read_body(entry: &Entry, mut body: Incoming) -> Result<Bytes, Code> {
+    let limits = entry.cfg.limits;
+    let read = collect_body(&mut body, limits.body_bytes, &entry.buffers);
+    match timeout(limits.body_timeout, read).await {
         None => Err(Code::CallerTooSlow),
-        Some(Ok(body)) => Ok(body.to_bytes()),
-        Some(Err(e)) if e.is::<LengthLimitError>() => Err(Code::BodyTooLarge),
-        Some(Err(_)) => Err(Code::BadFraming),
+        Some(Ok(body)) => Ok(body),
+        Some(Err(CollectError::TooLong)) => Err(Code::BodyTooLarge),
+        Some(Err(CollectError::NoMemory)) => {
+            log::warn!(name = entry.cfg.name.as_str(); "request refused: no memory for its body");
+            Err(Code::MemoryShort)
+        }
+        Some(Err(CollectError::Broken(_))) => Err(Code::BadFraming),
     }
 }
 
@@ -132,7 +136,7 @@
 /// Builds the HTTP response for a complete response of an endpoint; its header says that the
 /// request ran.
 pub(crate) fn complete_response(response: CompleteResponse) -> Response<ResponseBody> {
-    build_response(response.status, &response.content_type, full_body(response.body))
+    build_response(response.status, &response.content_type, sliced_body(response.body))
 }
 
 pub(crate) fn build_response(
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -10,6 +10,7 @@
 use crocustally_log::LogSettings;
 use crocustally_log::PeerSettings;
 use crocustally_net::AdminSettings;
+use crocustally_net::GrpcLimits;
 use crocustally_net::HttpLimits;
 use crocustally_net::LogFormat;
 use crocustally_net::SettingsError;
@@ -85,6 +86,14 @@
     /// Limits on the requests of callers.
     #[serde(default)]
     pub limits: RawLimits,
+    /// Memory that the process may use, in megabytes (2^20 bytes); a quarter of it is for the bodies of
+    /// callers, and as much for messages of peers.
+    #[serde(default = "default_memory")]
+    pub memory_mb: usize,
+    /// Connections of the system's other processes that may be open; a quarter of the descriptors of
+    /// the process if absent.
+    #[serde(default)]
+    pub peer_connections_max: Option<usize>,
     /// Number of threads.
     #[serde(default = "default_threads")]
     pub threads: usize,
@@ -96,6 +105,11 @@
     pub admin: Option<AdminSettings>,
 }
 
+/// As for a gateway, which has the same work.
+fn default_memory() -> usize {
+    260
+}
+
 fn default_threads() -> usize {
     4
 }
@@ -121,6 +135,10 @@
     pub data: Option<PathBuf>,
     /// Limits on the requests of callers.
     pub limits: HttpLimits,
+    /// Memory that the process may use, in megabytes (2^20 bytes).
+    pub memory_mb: usize,
+    /// Connections of the system's other processes that may be open.
+    pub peer_connections_max: usize,
     /// Number of threads.
     pub threads: usize,
     /// Format of log lines.
@@ -163,6 +181,12 @@
                 return Err(SettingsError::invalid(key, "is empty"));
             }
         }
+        if raw.memory_mb == 0 {
+            return Err(SettingsError::invalid("memory_mb", "must be 1 or more"));
+        }
+        if raw.peer_connections_max == Some(0) {
+            return Err(SettingsError::invalid("peer_connections_max", "must be 1 or more"));
+        }
         if raw.threads == 0 {
             return Err(SettingsError::invalid("threads", "must be 1 or more"));
         }
@@ -177,6 +201,10 @@
         let peers = check_peers(&raw, peer_listen)?;
         Ok(Self {
             limits: check_limits(&raw.limits)?,
+            memory_mb: raw.memory_mb,
+            peer_connections_max: raw
+                .peer_connections_max
+                .unwrap_or_else(GrpcLimits::default_connections),
             name: raw.name,
             domain: raw.domain,
             listen,
--- a/crates/net/src/service_pair.rs
+++ b/crates/net/src/service_pair.rs
@@ -7,7 +7,6 @@
 use futures_lite::future::Boxed;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use tonic::body::Body;
 use tonic::server::NamedService;
 use tower_service::Service;
@@ -27,11 +26,11 @@
     }
 }
 
-impl<A, B> Service<Request<Incoming>> for ServicePair<A, B>
+impl<A, B> Service<Request<Body>> for ServicePair<A, B>
 where
-    A: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible> + NamedService,
+    A: Service<Request<Body>, Response = Response<Body>, Error = Infallible> + NamedService,
     A::Future: Send + 'static,
-    B: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>,
+    B: Service<Request<Body>, Response = Response<Body>, Error = Infallible>,
     B::Future: Send + 'static,
 {
     type Response = Response<Body>;
@@ -42,7 +41,7 @@
         Poll::Ready(Ok(()))
     }
 
-    fn call(&mut self, req: Request<Incoming>) -> Self::Future {
+    fn call(&mut self, req: Request<Body>) -> Self::Future {
         let service = req.uri().path().trim_start_matches('/').split('/').next();
         if service == Some(A::NAME) {
             Box::pin(self.first.call(req))
