--- a/crates/net/src/metered_body.rs
+++ b/crates/net/src/metered_body.rs
@@ -59,16 +59,13 @@
                 self.received += frame.data_ref().map_or(0, Bytes::len);
                 let received = self.received;
                 if self.charge.resize(received).is_err() {
-                    let refusal = Self::refuse("no memory is left for it", |r| {
-                        Status::resource_exhausted(r)
-                    });
+                    let refusal =
+                        Self::refuse("no memory is left for it", |r| Status::resource_exhausted(r));
                     return Poll::Ready(Some(Err(refusal)));
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
-            Poll::Ready(Some(Err(e))) => {
-                Poll::Ready(Some(Err(Status::unavailable(e.to_string()))))
-            }
+            Poll::Ready(Some(Err(e))) => Poll::Ready(Some(Err(Status::unavailable(e.to_string())))),
             Poll::Ready(None) => Poll::Ready(None),
             Poll::Pending => {
                 let timer = self.timer.get_or_insert_with(|| Timer::after(PROGRESS_TIMEOUT));
