--- a/crates/core/src/dispatch/pass_model.rs
+++ b/crates/core/src/dispatch/pass_model.rs
@@ -7,9 +7,6 @@
 /// Share of the promised gap within which the slowest passes are kept; the rest covers the way of an
 /// event to the caller.
 const GAP_SHARE: f64 = 0.95;
-/// Smallest limit that is derived from observed passes, as a share of the limit without them. A wrong
-/// observation can then cost at most half of a group's capacity.
-const LIMIT_SHARE_MIN: f64 = 0.5;
 /// Largest skew that is derived from a pass; the limit has reached its lower bound before.
 const SKEW_MAX: f64 = 16.0;
 
@@ -24,6 +21,9 @@
     pub gap_max: Duration,
     /// Expert load skew that the limit without observed passes is computed with.
     pub skew: f64,
+    /// Smallest limit that is derived from observed passes, as a share of the limit without them; 1 if
+    /// observed passes never lower it.
+    pub limit_share_min: f64,
 }
 
 impl PassModel {
@@ -45,9 +45,9 @@
     }
 
     /// Streams per endpoint with which a pass at this skew stays within the promised gap: at most
-    /// `bound`, at least half of it.
+    /// `bound`, at least [`PassModel::limit_share_min`] of it.
     pub fn streams_within(&self, skew: f64, bound: f64) -> f64 {
         let streams = self.engine.requests_within(self.pass_max(), self.prompt_tokens, skew);
-        streams.clamp(bound * LIMIT_SHARE_MIN, bound)
+        streams.clamp(bound * self.limit_share_min, bound)
     }
 }
--- a/crates/core/tests/groups.rs
+++ b/crates/core/tests/groups.rs
@@ -66,7 +66,13 @@
 }
 
 fn model() -> PassModel {
-    PassModel { engine: engine(), prompt_tokens: 412.5, gap_max: GAP, skew: SKEW_ASSUMED }
+    PassModel {
+        engine: engine(),
+        prompt_tokens: 412.5,
+        gap_max: GAP,
+        skew: SKEW_ASSUMED,
+        limit_share_min: 0.5,
+    }
 }
 
 /// Streams per endpoint allowed without observations: about 7.7.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -382,6 +382,7 @@
             prompt_tokens: PREFILLS_PER_PASS * f64::from(e.mean_prompt_tokens),
             gap_max: gap,
             skew: POPULARITY_SHIFT_SKEW,
+            limit_share_min: self.cfg.group_limit_share_min,
         });
         let kv = service.engine.as_ref().filter(|e| e.kv_capacity_tokens > 0).map(|e| KvSettings {
             capacity_tokens: e.kv_capacity_tokens,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -81,6 +81,10 @@
     /// Longest forward pass during a popularity shift, as a share of the same gap.
     #[serde(default = "default_pass_bound")]
     pub pass_bound_share: f64,
+    /// Smallest limit on the streams of one of several groups that observed passes may lead to, as a share
+    /// of the limit that the published figures give; 1 if observed passes never lower it.
+    #[serde(default = "default_group_limit_share_min")]
+    pub group_limit_share_min: f64,
     /// Number of worker threads.
     #[serde(default = "default_threads")]
     pub threads: usize,
@@ -152,6 +156,12 @@
     0.77
 }
 
+/// On the deployments measured, lower limits refused as many streams as they kept on time; see
+/// docs/design/groups.md.
+fn default_group_limit_share_min() -> f64 {
+    1.0
+}
+
 fn default_threads() -> usize {
     1
 }
@@ -200,6 +210,9 @@
     pub pass_target_share: f64,
     /// Longest forward pass during a popularity shift, as a share of the same gap.
     pub pass_bound_share: f64,
+    /// Smallest limit of one of several groups that observed passes may lead to, as a share of the limit that
+    /// the published figures give.
+    pub group_limit_share_min: f64,
     /// Number of worker threads.
     pub threads: usize,
     /// Log format.
@@ -234,6 +247,7 @@
             ("client_stall_s", raw.client_stall_s),
             ("pass_target_share", raw.pass_target_share),
             ("pass_bound_share", raw.pass_bound_share),
+            ("group_limit_share_min", raw.group_limit_share_min),
         ] {
             if !n.is_finite() || n <= 0.0 {
                 return Err(SettingsError::invalid(key, "must be more than 0"));
@@ -249,6 +263,9 @@
                 return Err(SettingsError::invalid(key, "must be 1 or more"));
             }
         }
+        if raw.group_limit_share_min > 1.0 {
+            return Err(SettingsError::invalid("group_limit_share_min", "must be at most 1"));
+        }
         if raw.descriptors_max.is_some_and(|n| n < DESCRIPTORS_MIN) {
             let text = format!("must be {DESCRIPTORS_MIN} or more");
             return Err(SettingsError::invalid("descriptors_max", text));
@@ -284,6 +301,7 @@
             cold_slack: raw.cold_slack,
             pass_target_share: raw.pass_target_share,
             pass_bound_share: raw.pass_bound_share,
+            group_limit_share_min: raw.group_limit_share_min,
             threads: raw.threads,
             log: raw.log,
             admin: raw.admin.map(|a| a.resolve()).transpose()?,
