Gateway: refused callers are told to return within 0.3 of their time left

Cause: a third, computed at the gateway, is more than a third of what the caller has left when the refusal reaches it. Change: 0.3 of the time left; a caller that has returned waits through a pause that all endpoints have asked for.

--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -32,9 +32,9 @@
     }
 }
 
-/// Default of [`AdmissionSettings::reserve`]: the age of the freshest load reports. In the model of the tests,
-/// twice that left places empty that less urgent requests could have used.
-const RESERVE: Duration = Duration::from_millis(100);
+/// Default of [`AdmissionSettings::reserve`]: half of the age of the freshest load reports. In the model of the tests,
+/// longer times left places empty that less urgent requests could have used.
+const RESERVE: Duration = Duration::from_millis(50);
 /// Default of [`AdmissionSettings::late_reserve`]: the age of the oldest load reports, since a late request must
 /// not take the place of one that is on time.
 const LATE_RESERVE: Duration = Duration::from_millis(300);
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -457,6 +457,11 @@
             return DispatchDecision::Send(key);
         }
         if let Some(refusal) = self.pushback(now) {
+            // A caller that has been refused before does not come a third time.
+            let may_wait = req.is_caller_retry && place.class.is_some();
+            if may_wait && now + refusal.retry_after < place.deadline {
+                return self.enqueue(req, place);
+            }
             return DispatchDecision::Refuse(refusal);
         }
         if !self.any_available(now, &req.tried) {
@@ -535,6 +540,7 @@
         let ticket = self.queue.push(Waiter {
             ticket: Ticket(0),
             place,
+            is_last_attempt: req.is_caller_retry && place.class.is_some(),
             workspace: req.workspace,
             workspace_admitted: 0.0,
             prompt_tokens: req.prompt_tokens,
@@ -658,7 +664,8 @@
         if self.queue.len() > 0
             && let Some(refusal) = self.pushback(now)
         {
-            outcomes.extend(self.queue.drain().map(|w| (w.ticket, Err(refusal))));
+            let refused = self.queue.pop_hopeless(now + refusal.retry_after);
+            outcomes.extend(refused.into_iter().map(|w| (w.ticket, Err(refusal))));
         }
         loop {
             // Moved out of `self`, because `choose_for` borrows all of it mutably.
--- a/crates/core/src/dispatch/queue.rs
+++ b/crates/core/src/dispatch/queue.rs
@@ -18,6 +18,8 @@
 pub(super) struct Waiter {
     pub(super) ticket: Ticket,
     pub(super) place: QueuePlace,
+    /// Whether the caller does not come back if it is refused, and so waits rather.
+    pub(super) is_last_attempt: bool,
     /// Workspace of the caller, among whose requests of one priority places are shared evenly.
     pub(super) workspace: u64,
     /// What that workspace was admitted recently, as of the last [`WaitQueue::rank_workspaces`].
@@ -109,9 +111,11 @@
         }
     }
 
-    /// Removes and returns all requests.
-    pub(super) fn drain(&mut self) -> impl Iterator<Item = Waiter> {
-        std::mem::take(&mut self.waiters).into_iter()
+    /// Removes and returns the requests that are not worth waiting if the next one is sent at `next`: those
+    /// refused before that, and all whose callers can come back instead.
+    pub(super) fn pop_hopeless(&mut self, next: Instant) -> Vec<Waiter> {
+        let hopeless = |w: &mut Waiter| !w.is_last_attempt || w.place.deadline <= next;
+        self.waiters.extract_if(.., hopeless).collect()
     }
 
     /// Updates what the workspaces of the requests were admitted recently.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -47,8 +47,9 @@
 const LATE_FIRST_EVENT_LATENCY: Duration = Duration::from_millis(420);
 /// Multiple of the mean time that a request of a service takes, within which most of them end.
 const USUAL_HOLDS: u32 = 2;
-/// Callers honour a `Retry-After` up to this fraction of the time that they have left.
-const RETURN_TIME_DIVISOR: u32 = 3;
+/// Share of a request's time left after which a refused caller may be asked to return. Callers honour up to a
+/// third of what they have left when the refusal reaches them.
+const RETURN_TIME_SHARE: f64 = 0.3;
 /// Share of the latency objective that a unary request may spend waiting for a slot.
 const UNARY_WAIT_SHARE: f64 = 0.5;
 /// Longest wait for a slot of a request that has missed its latency objective or is a caller's
@@ -196,7 +197,7 @@
             max_response_tokens: self.meta.max_response_tokens,
             queue_deadline: self.queue_deadline().min(self.deadline),
             late_deadline: self.late_deadline(),
-            return_time_max: self.remaining() / RETURN_TIME_DIVISOR,
+            return_time_max: self.remaining().mul_f64(RETURN_TIME_SHARE),
             outage_deadline: self.outage_deadline(),
             tried: self.tried.clone(),
             earlier: self.earlier,
