Net: send buffers of clients' connections bounded to 256 KiB

Cause: the kernel takes some MB for each stream that nobody reads, so it took 4 s to tell 36 of them from ones that are read. Change: SO_SNDBUF of 256 KiB for connections of clients.

--- a/crates/net/src/connect.rs
+++ b/crates/net/src/connect.rs
@@ -57,6 +57,13 @@
     }
 }
 
+/// Bounds the bytes that the kernel holds for a peer that does not read.
+pub(crate) fn set_send_buffer(stream: &TcpStream, bytes: usize) {
+    if let Err(e) = sockopt::set_socket_send_buffer_size(stream, bytes) {
+        log::debug!("cannot set SO_SNDBUF: {e}");
+    }
+}
+
 /// Makes closing the connection reset it, which discards data that is not yet delivered.
 pub(crate) fn set_reset_on_close(stream: &TcpStream) {
     set_linger(stream, Some(Duration::ZERO));
--- a/crates/net/src/http_server.rs
+++ b/crates/net/src/http_server.rs
@@ -40,6 +40,7 @@
 use crate::connect::clear_reset_on_close;
 use crate::connect::set_ack_timeout;
 use crate::connect::set_reset_on_close;
+use crate::connect::set_send_buffer;
 
 /// The body of a response.
 pub type ResponseBody = UnsyncBoxBody<Bytes, std::io::Error>;
@@ -50,6 +51,9 @@
 /// Time without progress of a client's connection after which it is closed. Callers that are cut off, and those that
 /// wait as long as the longest route allows (8 s), have given up by then.
 const STALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Send buffer of a connection in bytes, which the kernel doubles. Left to itself it grows to some MB; 36 streams that
+/// nobody reads then took 4 s before they could be told from ones that are read. At a round trip of 10 ms it allows 25 MB/s.
+const SEND_BUFFER: usize = 256 * 1024;
 /// Interval at which connections without progress are looked for.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 /// Sweeps between two log lines about closed connections.
@@ -251,6 +255,7 @@
 {
     let _ = stream.set_nodelay(true);
     set_ack_timeout(&stream, CALLER_ACK_TIMEOUT);
+    set_send_buffer(&stream, SEND_BUFFER);
     let mut raw = stream.clone();
     let _guard = shutdown.track_connection();
     let (caller, conn) = (stream.clone(), open.conn.clone());
