Control and entry: limits on connections of callers

Cause: heads that never end and idle connections took all descriptors of a control instance and an entry, and bodies that stop short kept their memory for as long as they were allowed to arrive.

Change: both use the connection limits of the HTTP server that gateways have, derived from their descriptors and memory_mb. A connection whose body is being read gives way, and its call is refused before it is decoded. Two lints of clippy are mended.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -7,6 +7,8 @@
 use crocustally_core::fleet::Heartbeat;
 use crocustally_core::fleet::HeartbeatState;
 use crocustally_core::fleet::RegistryChange;
+use crocustally_net::BufferBudget;
+use crocustally_net::ClientConnection;
 use crocustally_net::CollectError;
 use crocustally_net::ResponseBody;
 use crocustally_net::collect_body;
@@ -16,8 +18,10 @@
 use crocustally_wire::PolicyDocument;
 use crocustally_wire::command::Kind;
 use crocustally_wire::outcome::Kind as OutcomeKind;
+use futures_lite::future;
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Body;
 use hyper::body::Incoming;
 
 use crate::Control;
@@ -38,11 +42,10 @@
     control: Arc<Control>,
     req: Request<Incoming>,
 ) -> Response<ResponseBody> {
-    let (head, mut body) = req.into_parts();
+    let (head, body) = req.into_parts();
     let dialect = control.dialect.clone();
-    let read =
-        timeout(BODY_TIMEOUT, collect_body(&mut body, POLICY_BYTES_MAX, &control.buffers)).await;
-    let body = match read {
+    let conn = head.extensions.get::<Arc<ClientConnection>>();
+    let body = match read_body(body, &control.buffers, conn).await {
         Some(Ok(body)) => body,
         failed => {
             let cause = failed.and_then(Result::err);
@@ -75,6 +78,32 @@
     dialect.encode_response(response)
 }
 
+/// Reads the body of a call; `None` if it does not arrive in time or its connection has to give way.
+async fn read_body(
+    mut body: Incoming,
+    budget: &BufferBudget,
+    conn: Option<&Arc<ClientConnection>>,
+) -> Option<Result<Bytes, CollectError>> {
+    if body.is_end_stream() {
+        return Some(Ok(Bytes::new()));
+    }
+    let reading = conn.map(|c| c.reading_body());
+    let budget = budget.for_client(conn.cloned());
+    let read = timeout(BODY_TIMEOUT, collect_body(&mut body, POLICY_BYTES_MAX, &budget));
+    let gave_way = async {
+        match conn {
+            Some(conn) => conn.closing().await,
+            None => future::pending().await,
+        }
+        None
+    };
+    let read = future::or(read, gave_way).await;
+    if let Some(reading) = reading.filter(|_| matches!(read, Some(Ok(_)))) {
+        reading.complete();
+    }
+    read
+}
+
 impl Control {
     async fn record_heartbeat(&self, beat: Heartbeat) -> ControlResponse {
         // One that leaves is recorded all the same: other instances may know its service.
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -23,14 +23,17 @@
 use crocustally_log::PeerSettings;
 use crocustally_log::ReplicaService;
 use crocustally_net::BufferBudget;
+use crocustally_net::ClientConnections;
 use crocustally_net::Clock;
 use crocustally_net::GrpcLimits;
 use crocustally_net::HttpLimits;
 use crocustally_net::Runtime;
 use crocustally_net::ServicePair;
 use crocustally_net::Shutdown;
+use crocustally_net::client_connections_max;
+use crocustally_net::descriptor_limit;
 use crocustally_net::serve_grpc_within;
-use crocustally_net::serve_http;
+use crocustally_net::serve_http_with;
 use crocustally_net::sleep;
 use crocustally_net::timeout;
 use crocustally_wire::BlockedParts;
@@ -154,7 +157,11 @@
         let shared = control.clone();
         let handler = move |req| api::handle_request(shared.clone(), req);
         let limits = HttpLimits { body_bytes: POLICY_BYTES_MAX, ..HttpLimits::default() };
-        let callers = serve_http(rt, control.cfg.listen, limits, &shutdown, handler).await?;
+        let max = client_connections_max(descriptor_limit(), control.cfg.memory_mb);
+        let buffers = Some(control.buffers.clone());
+        let conns = ClientConnections::new(max, limits.stall_timeout, buffers);
+        let address = control.cfg.listen;
+        let callers = serve_http_with(rt, address, limits, conns, &shutdown, handler).await?;
         Ok((control, ControlAddresses { callers, peers }))
     }
 
--- a/crates/daemons/tests/uncontrolled_callers.rs
+++ b/crates/daemons/tests/uncontrolled_callers.rs
@@ -184,7 +184,7 @@
         for _ in 0..TRIES {
             let channel = Channel::new(&self.rt, self.peers);
             let mut client = ControlClient::with_origin(channel.clone(), channel.origin());
-            let req = FollowRequest { name: "gateway-0".to_owned(), ..FollowRequest::default() };
+            let req = FollowRequest { name: "gateway-0".to_owned() };
             let update = timeout(FOLLOW_TIMEOUT, async {
                 client.follow(req).await.ok()?.into_inner().message().await.ok()?
             });
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -21,13 +21,16 @@
 use crocustally_log::ReplicaService;
 use crocustally_net::BufferBudget;
 use crocustally_net::Channel;
+use crocustally_net::ClientConnections;
 use crocustally_net::Clock;
 use crocustally_net::GrpcLimits;
 use crocustally_net::Runtime;
 use crocustally_net::ServicePair;
 use crocustally_net::Shutdown;
+use crocustally_net::client_connections_max;
+use crocustally_net::descriptor_limit;
 use crocustally_net::serve_grpc_within;
-use crocustally_net::serve_http;
+use crocustally_net::serve_http_with;
 use crocustally_wire::MESSAGE_BYTES_MAX;
 use crocustally_wire::entry_server::EntryServer;
 use crocustally_wire::replica_server::ReplicaServer;
@@ -141,7 +144,11 @@
         let shared = entry.clone();
         let handler = move |req| front::handle_request(shared.clone(), req);
         let limits = entry.cfg.limits;
-        let callers = serve_http(rt, entry.cfg.listen, limits, &shutdown, handler).await?;
+        let max = client_connections_max(descriptor_limit(), entry.cfg.memory_mb);
+        let buffers = Some(entry.buffers.clone());
+        let conns = ClientConnections::new(max, limits.stall_timeout, buffers);
+        let address = entry.cfg.listen;
+        let callers = serve_http_with(rt, address, limits, conns, &shutdown, handler).await?;
         gossip::start(&entry);
         Ok((entry, EntryAddresses { callers, peers }))
     }
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -8,6 +8,7 @@
 use crocustally_core::Code;
 use crocustally_core::Ran;
 use crocustally_core::control::ServiceKind;
+use crocustally_net::ClientConnection;
 use crocustally_net::CollectError;
 use crocustally_net::RUN_HEADER;
 use crocustally_net::ResponseBody;
@@ -16,6 +17,7 @@
 use crocustally_net::sliced_body;
 use crocustally_net::timeout;
 use crocustally_wire::Whole;
+use futures_lite::future;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -95,7 +97,8 @@
     if body.size_hint().lower() > limits.body_bytes as u64 {
         return Err(Code::BodyTooLarge);
     }
-    let body = read_body(entry, body).await?;
+    let conn = parts.extensions.get::<Arc<ClientConnection>>();
+    let body = read_body(entry, body, conn).await?;
     if service.kind == ServiceKind::Model && parts.method != hyper::Method::POST {
         return Err(Code::MalformedBody);
     }
@@ -106,19 +109,43 @@
     headers.iter().map(|(n, v)| n.as_str().len() + v.len()).sum()
 }
 
-async fn read_body(entry: &Entry, mut body: Incoming) -> Result<Bytes, Code> {
+async fn read_body(
+    entry: &Entry,
+    mut body: Incoming,
+    conn: Option<&Arc<ClientConnection>>,
+) -> Result<Bytes, Code> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
     let limits = entry.cfg.limits;
-    let read = collect_body(&mut body, limits.body_bytes, &entry.buffers);
-    match timeout(limits.body_timeout, read).await {
-        None => Err(Code::CallerTooSlow),
-        Some(Ok(body)) => Ok(body),
-        Some(Err(CollectError::TooLong)) => Err(Code::BodyTooLarge),
-        Some(Err(CollectError::NoMemory)) => {
-            log::warn!(name = entry.cfg.name.as_str(); "request refused: no memory for its body");
-            Err(Code::MemoryShort)
+    let reading = conn.map(|c| c.reading_body());
+    let budget = entry.buffers.for_client(conn.cloned());
+    let read = async {
+        let body = collect_body(&mut body, limits.body_bytes, &budget);
+        match timeout(limits.body_timeout, body).await {
+            None => Err(Code::CallerTooSlow),
+            Some(Ok(body)) => Ok(body),
+            Some(Err(CollectError::TooLong)) => Err(Code::BodyTooLarge),
+            Some(Err(CollectError::NoMemory)) => {
+                let name = entry.cfg.name.as_str();
+                log::warn!(name = name; "request refused: no memory for its body");
+                Err(Code::MemoryShort)
+            }
+            Some(Err(CollectError::Broken(_))) => Err(Code::BadFraming),
         }
-        Some(Err(CollectError::Broken(_))) => Err(Code::BadFraming),
+    };
+    let gave_way = async {
+        match conn {
+            Some(conn) => conn.closing().await,
+            None => future::pending().await,
+        }
+        Err(Code::CallerTooSlow)
+    };
+    let body = future::or(read, gave_way).await;
+    if let Some(reading) = reading.filter(|_| body.is_ok()) {
+        reading.complete();
     }
+    body
 }
 
 /// Counts and builds the refusal of a request without earlier attempts.
--- a/crates/net/src/metered_body.rs
+++ b/crates/net/src/metered_body.rs
@@ -59,22 +59,19 @@
                 self.received += frame.data_ref().map_or(0, Bytes::len);
                 let received = self.received;
                 if self.charge.resize(received).is_err() {
-                    let refusal = Self::refuse("no memory is left for it", |r| {
-                        Status::resource_exhausted(r)
-                    });
+                    let refusal =
+                        Self::refuse("no memory is left for it", Status::resource_exhausted);
                     return Poll::Ready(Some(Err(refusal)));
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
-            Poll::Ready(Some(Err(e))) => {
-                Poll::Ready(Some(Err(Status::unavailable(e.to_string()))))
-            }
+            Poll::Ready(Some(Err(e))) => Poll::Ready(Some(Err(Status::unavailable(e.to_string())))),
             Poll::Ready(None) => Poll::Ready(None),
             Poll::Pending => {
                 let timer = self.timer.get_or_insert_with(|| Timer::after(PROGRESS_TIMEOUT));
                 if Pin::new(timer).poll(cx).is_ready() {
                     let refusal =
-                        Self::refuse("its message stops short", |r| Status::deadline_exceeded(r));
+                        Self::refuse("its message stops short", Status::deadline_exceeded);
                     return Poll::Ready(Some(Err(refusal)));
                 }
                 Poll::Pending
