Net: a small limit on connections lets in as many new ones per second as a large one

Cause: beside 800 idle clients no call to the admin address of a rank agent was answered: each of its 8 connections was kept for 250 ms. Change: the time in which a client has to send its request is 4 ms for each connection of the limit, at most 250 ms.

--- a/crates/net/src/client_connections.rs
+++ b/crates/net/src/client_connections.rs
@@ -38,6 +38,9 @@
 /// Time that a client has to send its request, or to go on, before its connection may be closed to make room. Without
 /// it, new connections would close each other unheard while all older ones wait for their responses.
 const SENDING_TIME: Duration = Duration::from_millis(250);
+/// The same for each connection of a small limit: eight connections of 250 ms each would let in 32 a second, and an
+/// operator would wait behind hundreds of idle ones.
+const SENDING_TIME_PER_CONNECTION: Duration = Duration::from_millis(4);
 /// Connections that may be closed to make room at a time: some take the time of a refusal to be gone.
 const CLOSING_MAX: usize = 8;
 
@@ -333,7 +336,7 @@
             let candidates = open
                 .values()
                 .filter_map(|c| Some((c.without_progress_since()?, c)))
-                .filter(|(since, _)| since.elapsed() >= SENDING_TIME);
+                .filter(|(since, _)| since.elapsed() >= self.sending_time());
             candidates.min_by_key(|(since, _)| *since).map(|(_, c)| c.clone())
         };
         if let Some(conn) = victim {
@@ -341,6 +344,12 @@
         }
     }
 
+    /// Time that a client has to send its request before its connection may be closed to make room.
+    fn sending_time(&self) -> Duration {
+        let connections = u32::try_from(self.max).unwrap_or(u32::MAX);
+        SENDING_TIME.min(SENDING_TIME_PER_CONNECTION.saturating_mul(connections))
+    }
+
     fn close(&self, conn: &ClientConnection, cause: Cause) {
         if conn.close() {
             metrics::counter!("crocustally_client_connections_closed", "cause" => cause.as_str())
