Core, gateway: prompts that an endpoint retains are weighed against its load

The setting prompt_retention turns it on; without it, nothing is recorded and the same random numbers are drawn. RequestHead has the parts with their lengths, EngineSpec the KV memory. The stand-in engine retains prompt parts if its settings say so.

The pass time of a group is an input of the weighing that nothing fills in yet.

--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -1,5 +1,6 @@
 //! [`Pool`]: endpoint selection and queueing for one service in one gateway.
 
+mod retention;
 mod selection;
 
 use std::collections::BTreeMap;
@@ -19,8 +20,11 @@
 use super::LimiterSettings;
 use super::Member;
 use super::MemberKey;
+use super::PromptRetention;
 use super::RankState;
 use super::RequestOutcome;
+use super::RetentionSettings;
+use super::SizedPart;
 use super::SlidingWindow;
 use super::Ticket;
 use super::queue::WaitQueue;
@@ -49,6 +53,8 @@
     pub gateways: GatewaySet,
     /// Connections that one endpoint accepts, summed over all gateways.
     pub connections_max: u32,
+    /// How endpoints retain prompts; `None` if they keep none after a request.
+    pub retention: Option<RetentionSettings>,
     /// Seed of the random endpoint choice; must differ between gateways.
     pub seed: u64,
 }
@@ -64,6 +70,7 @@
             cold_per_s: 5.0,
             gateways: GatewaySet::new(0, 1..4, true),
             connections_max: 256,
+            retention: None,
             seed: 0,
         }
     }
@@ -76,6 +83,8 @@
     pub priority: u8,
     /// Length of the prompt in tokens; 0 for services without model engines.
     pub prompt_tokens: u32,
+    /// Parts of the prompt in order; empty if unknown.
+    pub parts: SmallVec<[SizedPart; 4]>,
     /// Latest time at which the request may be sent; after that it is refused.
     pub queue_deadline: Instant,
     /// Latest time at which the request may be sent if no endpoint accepts work. Such outages are
@@ -151,6 +160,7 @@
     next_key: u32,
     evacuated: BTreeSet<String>,
     limiter: Option<Limiter>,
+    retention: Option<PromptRetention>,
     in_flight: u32,
     queue: WaitQueue,
     hold_ms: Ewma,
@@ -172,6 +182,7 @@
     pub fn new(cfg: PoolSettings) -> Self {
         Self {
             limiter: cfg.limiter.map(Limiter::new),
+            retention: cfg.retention.clone().map(PromptRetention::new),
             first_attempts: SlidingWindow::new(cfg.retry_span),
             retries: SlidingWindow::new(cfg.retry_span),
             rng: ChaCha8Rng::seed_from_u64(cfg.seed),
@@ -199,6 +210,10 @@
         if self.cfg.limiter != cfg.limiter {
             self.limiter = cfg.limiter.map(Limiter::new);
         }
+        // Other figures mean another engine or model, which holds nothing of the prompts before.
+        if self.cfg.retention != cfg.retention {
+            self.retention = cfg.retention.clone().map(PromptRetention::new);
+        }
         self.cfg = cfg;
     }
 
@@ -223,16 +238,24 @@
             member.inherit(before);
         }
         self.members.insert(key, member);
-        self.by_id.insert(id.clone(), key);
+        let previous = self.by_id.insert(id.clone(), key);
+        if let (Some(previous), Some(r)) = (previous, &mut self.retention) {
+            r.forget(previous);
+        }
         self.by_address.insert(address_key(&registration.heartbeat.address), key);
         self.drop_ended_incarnations();
     }
 
     /// Removes replaced or unregistered members that have no requests in flight.
     fn drop_ended_incarnations(&mut self) {
-        let by_id = &self.by_id;
-        self.members
-            .retain(|k, m| m.in_flight > 0 || by_id.get(&m.registration.heartbeat.id) == Some(k));
+        let (by_id, retention) = (&self.by_id, &mut self.retention);
+        self.members.retain(|k, m| {
+            let current = by_id.get(&m.registration.heartbeat.id) == Some(k);
+            if let Some(r) = retention.as_mut().filter(|_| !current) {
+                r.forget(*k);
+            }
+            m.in_flight > 0 || current
+        });
         let members = &self.members;
         self.by_address.retain(|_, key| members.contains_key(key));
     }
@@ -340,7 +363,9 @@
             EarlierSends::Arrived => return self.refuse(Code::RetryBudgetSpent, RETRY_AFTER_MIN),
         }
         let none_ahead = self.queue.ahead(req.priority) == 0;
-        if none_ahead && let Some(key) = self.choose_member(now, req.prompt_tokens, &req.tried) {
+        if none_ahead
+            && let Some(key) = self.choose_member(now, req.prompt_tokens, &req.parts, &req.tried)
+        {
             self.assign(now, key, req.prompt_tokens, req.earlier);
             return DispatchDecision::Send(key);
         }
@@ -370,6 +395,7 @@
             priority: req.priority,
             deadline,
             prompt_tokens: req.prompt_tokens,
+            parts: req.parts.clone(),
             retry_after: RETRY_AFTER_MIN,
             tried: req.tried.clone(),
             earlier: req.earlier,
@@ -412,6 +438,9 @@
         self.in_flight = self.in_flight.saturating_sub(1);
         if let Some(m) = self.members.get_mut(&key) {
             m.record_outcome(now, outcome);
+            if let (RequestOutcome::Ended, Some(r)) = (outcome, &mut self.retention) {
+                r.forget(key);
+            }
             let ended = self.by_id.get(&m.registration.heartbeat.id) != Some(&key);
             if ended {
                 self.drop_ended_incarnations();
@@ -438,8 +467,9 @@
         loop {
             // Moved out of `self`, because `choose_member` borrows all of it mutably.
             let mut queue = std::mem::take(&mut self.queue);
-            let next =
-                queue.pop_first_placeable(|w| self.choose_member(now, w.prompt_tokens, &w.tried));
+            let next = queue.pop_first_placeable(|w| {
+                self.choose_member(now, w.prompt_tokens, &w.parts, &w.tried)
+            });
             self.queue = queue;
             let Some((w, key)) = next else { return outcomes };
             self.assign(now, key, w.prompt_tokens, w.earlier);
--- a/crates/core/src/dispatch/pool/selection.rs
+++ b/crates/core/src/dispatch/pool/selection.rs
@@ -9,7 +9,9 @@
 use super::Pool;
 use crate::dispatch::Member;
 use crate::dispatch::MemberKey;
+use crate::dispatch::SizedPart;
 use crate::dispatch::draw_water_filling;
+use crate::dispatch::water_filling::water_filling_weights;
 use crate::fleet::HeartbeatState;
 
 /// Cost factor of a member in another failure domain.
@@ -38,6 +40,32 @@
     age_s: f64,
 }
 
+/// A member that could get a request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Candidate {
+    pub(super) key: MemberKey,
+    /// Estimated cost of the request there; lower is better.
+    pub(super) score: f64,
+    /// Age of the member's load report in seconds; the mean age without one.
+    pub(super) age_s: f64,
+    /// Tokens of the prompt that it is believed to hold.
+    pub(super) saved_tokens: u32,
+    /// Time saved by them.
+    pub(super) saved: Duration,
+    /// Wait there, for comparison with the others; 0 unless the service retains prompts.
+    pub(super) wait_s: f64,
+}
+
+/// Loads of the candidates, and the part of each one's headroom that should be left: the other gateways
+/// have filled an endpoint for as long as it was not observed.
+fn loads_of(
+    candidates: &[Candidate],
+    fleet: &FleetLoad,
+) -> (SmallVec<[f64; 32]>, SmallVec<[f64; 32]>) {
+    let unfilled = |c: &Candidate| (-c.age_s / fleet.age_s.max(1e-3)).exp();
+    (candidates.iter().map(|c| c.score).collect(), candidates.iter().map(unfilled).collect())
+}
+
 impl Pool {
     /// Selects the member for a request among those with a free slot: with a limiter by a weighted
     /// random draw, otherwise the one with the lowest cost.
@@ -45,6 +73,7 @@
         &mut self,
         now: Instant,
         prompt_tokens: u32,
+        parts: &[SizedPart],
         tried: &[MemberKey],
     ) -> Option<MemberKey> {
         if self.in_flight >= self.limit(now) {
@@ -58,7 +87,7 @@
         self.scan_offset = self.scan_offset.wrapping_add(1);
         let keys: SmallVec<[MemberKey; 32]> = self.members.keys().copied().collect();
         let start = self.scan_offset as usize;
-        let mut candidates: SmallVec<[(MemberKey, f64, f64); 32]> = SmallVec::new();
+        let mut candidates: SmallVec<[Candidate; 32]> = SmallVec::new();
         for i in 0..keys.len() {
             // The rotating start distributes ties evenly.
             let key = keys[(start + i) % keys.len()];
@@ -73,20 +102,23 @@
             let age_s = m.report_age(now).map_or(fleet.age_s, |age| age.as_secs_f64());
             let cold_share = if m.is_rate_limited(now) { self.cold_share(m) } else { u32::MAX };
             if self.members.get_mut(&key).is_some_and(|m| m.cold_limit_allows(now, cold_share)) {
-                candidates.push((key, score, age_s));
+                let (saved_tokens, saved, wait_s) = (0, Duration::ZERO, 0.0);
+                candidates.push(Candidate { key, score, age_s, saved_tokens, saved, wait_s });
             }
         }
         if self.limiter.is_none() {
-            let cheapest = candidates.iter().min_by(|a, b| a.1.total_cmp(&b.1));
-            return cheapest.map(|(key, ..)| *key);
+            let cheapest = candidates.iter().min_by(|a, b| a.score.total_cmp(&b.score));
+            return cheapest.map(|c| c.key);
         }
-        let loads: SmallVec<[f64; 32]> = candidates.iter().map(|(_, load, _)| *load).collect();
-        // The other gateways have filled an endpoint for as long as it was not observed.
-        let unfilled: SmallVec<[f64; 32]> =
-            candidates.iter().map(|(.., age_s)| (-age_s / fleet.age_s.max(1e-3)).exp()).collect();
         let arrivals = self.completion_rate(&fleet) * fleet.age_s;
+        if self.retention.is_some() {
+            let (loads, unfilled) = loads_of(&candidates, &fleet);
+            let weights = water_filling_weights(&loads, &unfilled, arrivals);
+            self.keep_retaining(now, &mut candidates, &weights, parts);
+        }
+        let (loads, unfilled) = loads_of(&candidates, &fleet);
         let index = draw_water_filling(&loads, &unfilled, arrivals, &mut self.rng)?;
-        Some(candidates[index].0)
+        Some(candidates[index].key)
     }
 
     /// This gateway's part of the requests per second that a cold endpoint may get.
--- a/crates/core/src/dispatch/queue.rs
+++ b/crates/core/src/dispatch/queue.rs
@@ -7,6 +7,7 @@
 
 use super::EarlierSends;
 use super::MemberKey;
+use super::SizedPart;
 
 /// Identifies a queued request of one pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -21,6 +22,7 @@
     /// Time at which the request is refused if it is still queued.
     pub(super) deadline: Instant,
     pub(super) prompt_tokens: u32,
+    pub(super) parts: SmallVec<[SizedPart; 4]>,
     pub(super) retry_after: Duration,
     pub(super) tried: SmallVec<[MemberKey; 2]>,
     pub(super) earlier: EarlierSends,
--- a/crates/core/src/dispatch/water_filling.rs
+++ b/crates/core/src/dispatch/water_filling.rs
@@ -3,6 +3,7 @@
 
 use rand::Rng;
 use rand::RngExt;
+use smallvec::SmallVec;
 
 /// Draws the index of an endpoint with a probability proportional to its headroom below the water
 /// level that `arrivals` more requests would reach.
@@ -18,24 +19,33 @@
     arrivals: f64,
     rng: &mut impl Rng,
 ) -> Option<usize> {
-    let level = water_level(loads, arrivals.max(1.0))?;
-    let total: f64 = loads.iter().zip(unfilled).map(|(l, part)| (level - l).max(0.0) * part).sum();
+    if loads.is_empty() {
+        return None;
+    }
+    let weights = water_filling_weights(loads, unfilled, arrivals);
+    let total: f64 = weights.iter().sum();
     let mut left = rng.random::<f64>() * total;
     let mut last = None;
-    for (i, (load, part)) in loads.iter().zip(unfilled).enumerate() {
-        let room = (level - load).max(0.0) * part;
-        if room <= 0.0 {
-            continue;
-        }
+    for (i, weight) in weights.iter().enumerate().filter(|(_, weight)| **weight > 0.0) {
         last = Some(i);
-        if left < room {
+        if left < *weight {
             break;
         }
-        left -= room;
+        left -= weight;
     }
     last
 }
 
+/// Probability of each endpoint in [`draw_water_filling`], up to a common factor.
+pub(super) fn water_filling_weights(
+    loads: &[f64],
+    unfilled: &[f64],
+    arrivals: f64,
+) -> SmallVec<[f64; 32]> {
+    let level = water_level(loads, arrivals.max(1.0)).unwrap_or(0.0);
+    loads.iter().zip(unfilled).map(|(load, part)| (level - load).max(0.0) * part).collect()
+}
+
 /// Common load that the least loaded endpoints reach after `arrivals` more requests.
 fn water_level(loads: &[f64], arrivals: f64) -> Option<f64> {
     let mut sorted = loads.to_vec();
--- a/crates/core/src/traffic/engine.rs
+++ b/crates/core/src/traffic/engine.rs
@@ -21,6 +21,8 @@
     pub mean_prompt_tokens: u32,
     /// Mean length of a response in tokens.
     pub mean_response_tokens: u32,
+    /// KV memory of the engine in tokens; 0 if unknown.
+    pub kv_capacity_tokens: u64,
     /// Number of layer sets, each with its own experts; 0 for an engine without experts.
     pub layer_sets: usize,
     /// Number of experts per layer set.
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -63,6 +63,7 @@
     DispatchRequest {
         priority: 0,
         prompt_tokens: 0,
+        parts: Default::default(),
         queue_deadline: now + 150 * MS,
         outage_deadline: now,
         tried: Default::default(),
--- a/crates/core/tests/moves.rs
+++ b/crates/core/tests/moves.rs
@@ -116,6 +116,7 @@
         prefill_chunk_tokens: 512,
         mean_prompt_tokens: 835,
         mean_response_tokens: 97,
+        kv_capacity_tokens: 0,
         layer_sets: 16,
         experts_per_set: EXPERTS,
         expert_slots_per_set: 5,
--- a/crates/core/tests/shared_limits.rs
+++ b/crates/core/tests/shared_limits.rs
@@ -67,6 +67,7 @@
             let req = DispatchRequest {
                 priority: 0,
                 prompt_tokens: 0,
+                parts: Default::default(),
                 queue_deadline: now,
                 outage_deadline: now,
                 tried: Default::default(),
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -4,6 +4,7 @@
 
 use crocustally_core::Code;
 use crocustally_core::control::PromptPart;
+use crocustally_core::dispatch::SizedPart;
 use crocustally_core::traffic::PolicyError;
 use crocustally_core::traffic::TrafficPolicy;
 use crocustally_net::ResponseBody;
@@ -33,9 +34,12 @@
     /// Parts of the prompt that other requests may share, at most [`SHARED_PARTS_MAX`]; empty if
     /// unknown.
     pub shared_parts: SmallVec<[PromptPart; 4]>,
+    /// Leading parts of the prompt in order, with their lengths, at most [`SHARED_PARTS_MAX`]. The last
+    /// part of the prompt, which belongs to the request or its session, is among them.
+    pub prompt: SmallVec<[SizedPart; 4]>,
 }
 
-/// Number of shared parts of a prompt that are told apart; requests have two or three.
+/// Number of parts of a prompt that are told apart; requests have two or three.
 pub const SHARED_PARTS_MAX: usize = 16;
 
 /// Error: the head of a request cannot be decoded.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -154,6 +154,7 @@
         let req = DispatchRequest {
             priority: 2 * self.priority + u8::from(self.is_caller_retry()),
             prompt_tokens: self.meta.prompt_tokens,
+            parts: self.meta.prompt.clone(),
             queue_deadline: self.queue_deadline().min(self.deadline),
             outage_deadline: self.outage_deadline(),
             tried: self.tried.clone(),
@@ -309,10 +310,17 @@
         if let Some(first_byte) = self.first_byte {
             metrics::histogram!("crocustally_first_byte_seconds").record(first_byte.as_secs_f64());
         }
-        let (in_flight, limit, waiting, pass) =
-            self.gateway.pool(&self.service).with_pool(|pool| {
-                (pool.in_flight(), pool.limit(now), pool.queue_len(), pool.mean_pass(now))
-            });
+        let slot_pool = self.gateway.pool(&self.service);
+        let (in_flight, limit, waiting, pass) = slot_pool.with_pool(|pool| {
+            (pool.in_flight(), pool.limit(now), pool.queue_len(), pool.mean_pass(now))
+        });
+        if let Some(status) = slot_pool.with_pool(|pool| pool.retention_status(now)) {
+            let service = || self.service.clone();
+            metrics::gauge!("crocustally_prompt_entries", "service" => service())
+                .set(status.entries as f64);
+            metrics::gauge!("crocustally_prompts_not_retained", "service" => service())
+                .set(f64::from(u8::from(status.keeps_nothing)));
+        }
         let tries: Vec<String> = self
             .tries
             .iter()
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,6 +18,7 @@
 use crocustally_core::dispatch::GatewaySet;
 use crocustally_core::dispatch::LimiterSettings;
 use crocustally_core::dispatch::PoolSettings;
+use crocustally_core::dispatch::RetentionSettings;
 use crocustally_core::fleet::Registry;
 use crocustally_core::traffic::Route;
 use crocustally_core::traffic::RouteKind;
@@ -349,10 +350,26 @@
             cold_per_s: service.cold_per_s * self.cfg.cold_factor + self.cfg.cold_slack,
             gateways,
             connections_max: service.connections_max,
+            retention: self.retention_settings(service),
             seed: own,
         }
     }
 
+    /// How the endpoints of a service retain prompts; `None` unless the settings say so and the policy
+    /// has the figures that weigh a saving.
+    fn retention_settings(&self, service: &ServicePolicy) -> Option<RetentionSettings> {
+        let (cfg, engine) = (self.cfg.prompt_retention?, service.engine.clone()?);
+        let settings = RetentionSettings { ttl: cfg.ttl, kv_share: cfg.kv_share, engine };
+        if !settings.is_usable() {
+            log::warn!(
+                service = service.name.as_str();
+                "prompt retention is off: the policy lacks prefill rate or KV memory of the engines"
+            );
+            return None;
+        }
+        Some(settings)
+    }
+
     /// The HTTP client for an endpoint's address, created if needed.
     pub(crate) fn endpoint_client(&self, address: SocketAddr) -> Arc<HttpClient> {
         let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,4 +38,6 @@
 pub use gateway::Gateway;
 pub use gateway::GatewayAddresses;
 pub use settings::GatewaySettings;
+pub use settings::PromptRetentionSettings;
 pub use settings::RawGatewaySettings;
+pub use settings::RawPromptRetention;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -66,6 +66,9 @@
     /// Longest forward pass during a popularity shift, as a share of the same gap.
     #[serde(default = "default_pass_bound")]
     pub pass_bound_share: f64,
+    /// How endpoints retain prompts; absent if they keep none after a request.
+    #[serde(default)]
+    pub prompt_retention: Option<RawPromptRetention>,
     /// Number of worker threads.
     #[serde(default = "default_threads")]
     pub threads: usize,
@@ -77,6 +80,44 @@
     pub admin: Option<AdminSettings>,
 }
 
+/// How endpoints retain prompts, as read from YAML, not validated.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawPromptRetention {
+    /// Time after its last use for which an endpoint keeps a part of a prompt, in seconds.
+    pub ttl_s: f64,
+    /// Share of an endpoint's KV memory that retained prompts may use.
+    pub share: f64,
+}
+
+/// How endpoints retain prompts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PromptRetentionSettings {
+    /// Time after its last use for which an endpoint keeps a part of a prompt.
+    pub ttl: Duration,
+    /// Share of an endpoint's KV memory that retained prompts may use, above 0 and up to 1.
+    pub kv_share: f64,
+}
+
+/// Longest retention that can be meant: engines do not run longer without an operator.
+const RETENTION_TTL_MAX_S: f64 = 86_400.0;
+
+impl TryFrom<RawPromptRetention> for PromptRetentionSettings {
+    type Error = SettingsError;
+
+    fn try_from(raw: RawPromptRetention) -> Result<Self, SettingsError> {
+        if !(raw.ttl_s > 0.0 && raw.ttl_s <= RETENTION_TTL_MAX_S) {
+            let detail = "must be more than 0 and at most 86400";
+            return Err(SettingsError::invalid("prompt_retention.ttl_s", detail));
+        }
+        if !(raw.share > 0.0 && raw.share <= 1.0) {
+            let detail = "must be more than 0 and at most 1";
+            return Err(SettingsError::invalid("prompt_retention.share", detail));
+        }
+        Ok(Self { ttl: Duration::from_secs_f64(raw.ttl_s), kv_share: raw.share })
+    }
+}
+
 fn default_grace() -> f64 {
     10.0
 }
@@ -168,6 +209,8 @@
     pub pass_target_share: f64,
     /// Longest forward pass during a popularity shift, as a share of the same gap.
     pub pass_bound_share: f64,
+    /// How endpoints retain prompts; `None` if they keep none after a request.
+    pub prompt_retention: Option<PromptRetentionSettings>,
     /// Number of worker threads.
     pub threads: usize,
     /// Log format.
@@ -239,6 +282,10 @@
             cold_slack: raw.cold_slack,
             pass_target_share: raw.pass_target_share,
             pass_bound_share: raw.pass_bound_share,
+            prompt_retention: raw
+                .prompt_retention
+                .map(PromptRetentionSettings::try_from)
+                .transpose()?,
             threads: raw.threads,
             log: raw.log,
             admin: raw.admin.map(|a| a.resolve()).transpose()?,
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -20,9 +20,12 @@
 use crocustally_core::dispatch::QueueOutcome;
 use crocustally_core::dispatch::Refusal;
 use crocustally_core::dispatch::RequestOutcome;
+use crocustally_core::dispatch::SizedPart;
+use crocustally_core::dispatch::StartedPrompt;
 use crocustally_core::dispatch::Ticket;
 use crocustally_net::Clock;
 use crocustally_net::timeout;
+use smallvec::SmallVec;
 
 use crate::endpoint_ends::BEGINNING;
 use crate::endpoint_ends::InFlight;
@@ -48,6 +51,10 @@
     pub(crate) address: SocketAddr,
     pub(crate) sent_at: Instant,
     prompt_tokens: u32,
+    /// Parts of the prompt in order.
+    parts: SmallVec<[SizedPart; 4]>,
+    /// Tokens of the prompt that the endpoint was believed to hold.
+    saved_tokens: u32,
     response_started_at: Option<Instant>,
     /// When the request was sent or the last event arrived.
     last_active_at: Instant,
@@ -77,9 +84,31 @@
     pub(crate) fn record_response_start(&mut self) {
         let now = self.slot_pool.clock.now();
         self.last_active_at = now;
+        if self.response_started_at.is_none() {
+            self.record_prompt(now);
+        }
         self.start_response(now);
     }
 
+    /// Records that the endpoint has prefilled the prompt.
+    fn record_prompt(&self, now: Instant) {
+        if self.parts.is_empty() {
+            return;
+        }
+        let prompt = StartedPrompt {
+            parts: &self.parts,
+            prompt_tokens: self.prompt_tokens,
+            saved_tokens: self.saved_tokens,
+            latency: now.saturating_duration_since(self.sent_at),
+        };
+        self.slot_pool.lock().pool.record_prompt_started(now, self.key, &prompt);
+        if self.saved_tokens > 0 {
+            metrics::counter!("crocustally_prompt_hits").increment(1);
+            metrics::counter!("crocustally_prompt_tokens_saved")
+                .increment(u64::from(self.saved_tokens));
+        }
+    }
+
     fn start_response(&mut self, now: Instant) {
         if self.response_started_at.is_none() {
             self.response_started_at = Some(now);
@@ -222,7 +251,7 @@
             let mut inner = self.lock();
             match inner.pool.dispatch(self.clock.now(), req) {
                 DispatchDecision::Send(key) => {
-                    return self.grant_slot(&inner, key, req.prompt_tokens);
+                    return self.grant_slot(&inner, key, req);
                 }
                 DispatchDecision::Refuse(refusal) => return Err(refusal),
                 DispatchDecision::Wait(ticket) => {
@@ -243,14 +272,14 @@
             Refusal { code: Code::Overloaded, retry_after: Duration::from_millis(500) };
         let result = result.and_then(Result::ok).unwrap_or(Err(not_granted));
         drop(guard);
-        self.grant_slot(&self.lock(), result?, req.prompt_tokens)
+        self.grant_slot(&self.lock(), result?, req)
     }
 
     fn grant_slot(
         self: &Arc<Self>,
         inner: &Inner,
         key: MemberKey,
-        prompt_tokens: u32,
+        req: &DispatchRequest,
     ) -> Result<Slot, Refusal> {
         let removed = Refusal { code: Code::NoEndpoint, retry_after: Duration::from_millis(500) };
         let member = inner.pool.member(key).ok_or(removed)?;
@@ -260,7 +289,9 @@
             endpoint: member.registration.heartbeat.id.clone(),
             address: member.address(),
             sent_at: self.clock.now(),
-            prompt_tokens,
+            prompt_tokens: req.prompt_tokens,
+            saved_tokens: inner.pool.believed_saving(self.clock.now(), key, &req.parts),
+            parts: req.parts.clone(),
             response_started_at: None,
             last_active_at: self.clock.now(),
             in_flight: None,
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -46,6 +46,9 @@
     pub down_time: Duration,
     /// Maximum number of cached prompt prefixes; the least recently used one is evicted.
     pub cached_prefixes_max: usize,
+    /// KV memory for the parts of prompts that requests name in `prompt-prefix`, in tokens; 0 for an
+    /// engine that keeps none of them after a request.
+    pub retained_prompt_tokens: u64,
     /// Factor on prefill and token times; above 1 for a slow engine.
     pub slowdown: f64,
 }
@@ -61,6 +64,7 @@
             cold_capacity: 4,
             down_time: Duration::from_millis(300),
             cached_prefixes_max: 64,
+            retained_prompt_tokens: 0,
             slowdown: 1.0,
         }
     }
@@ -81,6 +85,8 @@
     in_flight: usize,
     in_flight_max: usize,
     cached_prefixes: VecDeque<u64>,
+    /// Beginnings of prompts with the tokens of their last part, the least recently used one first.
+    retained_prompts: VecDeque<(String, u64)>,
     cache_hits: u64,
     requests: u64,
     cancelled: u64,
@@ -172,6 +178,7 @@
         state.down_until = Some(restart_at);
         state.in_flight = 0;
         state.cached_prefixes.clear();
+        state.retained_prompts.clear();
         drop(state);
         self.connections.break_all();
     }
@@ -185,6 +192,7 @@
         state.start_number += 1;
         state.in_flight = 0;
         state.cached_prefixes.clear();
+        state.retained_prompts.clear();
     }
 
     /// Number of requests running now.
@@ -252,6 +260,7 @@
 
     async fn handle_completion(self, req: Request<Incoming>) -> Response<ResponseBody> {
         let resume_from = header_number(&req, "x-resume-from");
+        let parts = header_text(&req, "prompt-prefix").map(str::to_owned);
         let Ok(body) = req.into_body().collect().await else { return error(400, "body") };
         let body = body.to_bytes();
         let Ok(chat) = serde_json::from_slice::<Value>(&body) else { return error(400, "json") };
@@ -263,7 +272,12 @@
             return error(500, "dead");
         }
         let prefix = prompt_prefix(&chat);
-        sleep(self.prefill_time(prefix, resume_from)).await;
+        let parts = parts.filter(|_| self.cfg.retained_prompt_tokens > 0);
+        let cached_share = match &parts {
+            Some(parts) => self.retain_prompt(parts),
+            None => self.cache_prefix(prefix),
+        };
+        sleep(self.prefill_time(cached_share, resume_from)).await;
         let tokens = chat["max_tokens"].as_u64().unwrap_or(16);
         let hash = Digest::of(&[&body]).hex()[..6].to_owned();
         let start_number = slot.start_number;
@@ -289,7 +303,8 @@
         Some(BatchSlot { engine: self.clone(), start_number, finished: false })
     }
 
-    fn prefill_time(&self, prefix: u64, resume_from: u64) -> Duration {
+    /// Caches a prefix; returns 1 if it was cached before, else 0.
+    fn cache_prefix(&self, prefix: u64) -> f64 {
         let mut state = self.lock();
         let cache_hit = state.cached_prefixes.contains(&prefix);
         state.cached_prefixes.retain(|p| *p != prefix);
@@ -298,8 +313,42 @@
             state.cached_prefixes.pop_front();
         }
         state.cache_hits += u64::from(cache_hit);
-        let share = if cache_hit { self.cfg.cached_prefill_share } else { 1.0 };
-        let load_factor = self.load_factor(state.in_flight);
+        f64::from(u8::from(cache_hit))
+    }
+
+    /// Retains the parts of a prompt, given as comma-separated `id:tokens`; returns the share of its
+    /// tokens that was retained before.
+    fn retain_prompt(&self, parts: &str) -> f64 {
+        let ends = parts.match_indices(',').map(|(i, _)| i).chain([parts.len()]);
+        let beginnings: Vec<(&str, u64)> = ends
+            .map(|end| {
+                let tokens = parts[..end].rsplit(':').next().and_then(|t| t.trim().parse().ok());
+                (&parts[..end], tokens.unwrap_or(0))
+            })
+            .collect();
+        let mut state = self.lock();
+        let is_held =
+            |(text, _): &&(&str, u64)| state.retained_prompts.iter().any(|(held, _)| held == text);
+        let held: u64 = beginnings.iter().take_while(is_held).map(|(_, tokens)| tokens).sum();
+        let total: u64 = beginnings.iter().map(|(_, tokens)| tokens).sum();
+        state.retained_prompts.retain(|(held, _)| beginnings.iter().all(|(text, _)| held != text));
+        // The first part is evicted last: without it, the others are of no use.
+        let newest = beginnings.iter().rev().map(|(text, tokens)| ((*text).to_owned(), *tokens));
+        state.retained_prompts.extend(newest);
+        let mut sum: u64 = state.retained_prompts.iter().map(|(_, tokens)| tokens).sum();
+        while sum > self.cfg.retained_prompt_tokens
+            && let Some((_, tokens)) = state.retained_prompts.pop_front()
+        {
+            sum -= tokens;
+        }
+        state.cache_hits += u64::from(held > 0);
+        held as f64 / total.max(1) as f64
+    }
+
+    /// Prefill time of a prompt of which a share, from 0 to 1, is cached.
+    fn prefill_time(&self, cached_share: f64, resume_from: u64) -> Duration {
+        let share = 1.0 - cached_share * (1.0 - self.cfg.cached_prefill_share);
+        let load_factor = self.load_factor(self.lock().in_flight);
         let resume_factor = if resume_from > 0 { 1.2 } else { 1.0 };
         self.cfg.prefill_time.mul_f64(share * load_factor * resume_factor * self.cfg.slowdown)
     }
@@ -386,9 +435,12 @@
     Digest::of(&[first.as_bytes()]).to_u64()
 }
 
+fn header_text<'a>(req: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
+    req.headers().get(name).and_then(|v| v.to_str().ok())
+}
+
 fn header_number(req: &Request<Incoming>, name: &str) -> u64 {
-    let value = req.headers().get(name).and_then(|v| v.to_str().ok());
-    value.and_then(|v| v.parse().ok()).unwrap_or(0)
+    header_text(req, name).and_then(|v| v.parse().ok()).unwrap_or(0)
 }
 
 fn set_headers(
