CLI, gateway: `crocustally where` shows where a request would go and why

Change: Pool::explain runs the functions of dispatch on a copy of the pool: selection is split into limits (limit_reached), reasons (obstacle) and probabilities (rank), which dispatch uses too. The gateway answers /where on its admin address; the key comes in a header that is not logged. The command prints a table or JSON.

The gateway daemon's handler is compiled, not run by a test.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -11,6 +11,7 @@
 use clap::value_parser;
 use crocustally_core::Digest;
 use crocustally_core::control::Ticket;
+use crocustally_gateway::WhereQuery;
 use crocustally_net::Runtime;
 
 use crate::blocked;
@@ -18,6 +19,7 @@
 use crate::operate;
 use crate::operate::Change;
 use crate::report;
+use crate::where_request;
 
 /// Number of worker threads; the daemons of `demo` run on them too.
 const THREADS: usize = 6;
@@ -38,6 +40,9 @@
         .value_parser(value_parser!(SocketAddr))
         .help("Peer address of a control instance; may be given several times");
     let json = Arg::new("json").long("json").action(ArgAction::SetTrue);
+    let path = |name: &'static str| {
+        Arg::new(name).long(name).value_parser(value_parser!(PathBuf)).value_name("FILE")
+    };
     let file = Arg::new("file").required(true).value_parser(value_parser!(PathBuf));
     let name = Arg::new("name").required(true);
     Command::new("crocustally")
@@ -52,6 +57,34 @@
                 .arg(entry.clone())
                 .arg(json.clone()),
         )
+        .subcommand(
+            Command::new("where")
+                .about("Show where a gateway would send a request now, without sending it")
+                .arg(
+                    Arg::new("gateway")
+                        .long("gateway")
+                        .required(true)
+                        .value_parser(value_parser!(SocketAddr))
+                        .help("Admin address of the gateway"),
+                )
+                .arg(path("token-file").help("File with the token of the admin address"))
+                .arg(path("key-file").help("File with the API key of the workspace"))
+                .arg(
+                    Arg::new("prompt")
+                        .long("prompt")
+                        .value_name("ID:TOKENS,...")
+                        .help("Parts of the prompt in order"),
+                )
+                .arg(
+                    Arg::new("tokens")
+                        .long("tokens")
+                        .value_parser(value_parser!(u32))
+                        .help("Length of the prompt; the sum of the parts if it is missing"),
+                )
+                .arg(json.clone())
+                .arg(Arg::new("host").required(true))
+                .arg(Arg::new("path").required(true)),
+        )
         .subcommand(
             Command::new("report")
                 .about("Show objectives, error budgets and burn rates")
@@ -135,6 +168,19 @@
         "status" => {
             async_io::block_on(operate::status(&rt, &entry_addresses(m), m.get_flag("json")))
         }
+        "where" => match where_query(m) {
+            Ok((address, token, query)) => async_io::block_on(where_request::run(
+                &rt,
+                address,
+                token.as_deref(),
+                &query,
+                m.get_flag("json"),
+            )),
+            Err(detail) => {
+                eprintln!("{detail}");
+                ExitCode::from(EXIT_INVALID)
+            }
+        },
         "report" => {
             let html = m.get_one::<PathBuf>("html");
             async_io::block_on(report::run(&rt, &entry_addresses(m), m.get_flag("json"), html))
@@ -174,6 +220,32 @@
     }
 }
 
+/// Address, token and query of `where`, or what is wrong with them.
+fn where_query(m: &ArgMatches) -> Result<(SocketAddr, Option<String>, WhereQuery), String> {
+    let secret = |name: &str| {
+        let read = |path: &PathBuf| {
+            let text = std::fs::read_to_string(path);
+            text.map(|t| t.trim().to_owned()).map_err(|e| format!("{}: {e}", path.display()))
+        };
+        m.get_one::<PathBuf>(name).map(read).transpose()
+    };
+    let address = addresses(m, "gateway").first().copied().ok_or("no gateway")?;
+    let prompt = m
+        .get_one::<String>("prompt")
+        .map_or(Some(Vec::new()), |text| WhereQuery::parse_prompt(text));
+    let query = WhereQuery {
+        host: string_arg(m, "host"),
+        path: string_arg(m, "path"),
+        api_key: secret("key-file")?,
+        prompt: prompt.ok_or("--prompt must be ID:TOKENS,...")?,
+        prompt_tokens: m.get_one::<u32>("tokens").copied().unwrap_or(0),
+    };
+    if !query.path.starts_with('/') {
+        return Err("the path must start with a slash".to_owned());
+    }
+    Ok((address, secret("token-file")?, query))
+}
+
 fn read_file(m: &ArgMatches) -> Result<String, ExitCode> {
     let path = m.get_one::<PathBuf>("file").cloned().unwrap_or_default();
     std::fs::read_to_string(&path).map_err(|e| {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -10,7 +10,11 @@
 mod operate;
 mod plot;
 mod report;
+mod where_request;
 
 pub use args::run;
 pub use report::BurnLine;
 pub use report::merge_reports;
+pub use where_request::WhereError;
+pub use where_request::fetch_where;
+pub use where_request::where_table;
--- a/crates/core/src/dispatch/member.rs
+++ b/crates/core/src/dispatch/member.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use super::Ewma;
+use super::Obstacle;
 use super::SlidingWindow;
 use crate::Digest;
 use crate::fleet::HeartbeatState;
@@ -152,13 +153,30 @@
 
     /// Whether the endpoint accepts new requests and is not ejected.
     pub fn is_available(&self, now: Instant) -> bool {
+        self.unavailability(now).is_none()
+    }
+
+    /// Why the endpoint accepts no new requests, if it does not.
+    pub fn unavailability(&self, now: Instant) -> Option<Obstacle> {
         let open = self.rank_state.as_ref().is_none_or(|r| r.open || self.report_is_stale(now));
-        self.registration.heartbeat.state == HeartbeatState::Ready
-            && !self.is_ejected(now)
-            && !self.has_ended(now)
-            && !self.leaving
-            && !self.is_quiet(now)
-            && open
+        match self.registration.heartbeat.state {
+            HeartbeatState::Draining => return Some(Obstacle::Draining),
+            HeartbeatState::Gone => return Some(Obstacle::Gone),
+            HeartbeatState::Ready => {}
+        }
+        if let Some(until) = self.ejected_until.filter(|until| now < *until) {
+            return Some(Obstacle::Ejected(until - now));
+        }
+        if self.has_ended(now) {
+            return Some(Obstacle::Ended);
+        }
+        if self.leaving {
+            return Some(Obstacle::Leaving);
+        }
+        if let Some(until) = self.quiet_until(now) {
+            return Some(Obstacle::Quiet(until - now));
+        }
+        (!open).then_some(Obstacle::GroupClosed)
     }
 
     /// Records that the endpoint has said that it leaves; returns whether that is new.
@@ -182,10 +200,6 @@
         self.quiet_until.filter(|until| now < *until)
     }
 
-    fn is_quiet(&self, now: Instant) -> bool {
-        self.quiet_until(now).is_some()
-    }
-
     /// Takes over what the endpoint known before at the same address has said: a wish for quiet, and
     /// the leave of the same process under another id. A process that was born later does not leave.
     pub fn inherit(&mut self, before: &Self) {
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 
 mod crash_tracker;
 mod ewma;
+mod explanation;
 mod gateway_set;
 mod limiter;
 mod member;
@@ -21,6 +22,10 @@
 pub use crash_tracker::CRASHES_BEFORE_QUARANTINE;
 pub use crash_tracker::CrashTracker;
 pub use ewma::Ewma;
+pub use explanation::ExplainedMember;
+pub use explanation::Explanation;
+pub use explanation::HeldBack;
+pub use explanation::Obstacle;
 pub use gateway_set::GatewaySet;
 pub use limiter::Limiter;
 pub use limiter::LimiterSettings;
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -1,5 +1,6 @@
 //! [`Pool`]: endpoint selection and queueing for one service in one gateway.
 
+mod explain;
 mod retention;
 mod selection;
 
--- a/crates/core/src/dispatch/pool/retention.rs
+++ b/crates/core/src/dispatch/pool/retention.rs
@@ -39,6 +39,12 @@
         }
     }
 
+    /// Prefill time of `tokens` retained tokens; zero if retention is off.
+    pub(super) fn saved_time(&self, tokens: u32) -> Duration {
+        let settings = self.retention.as_ref().map(PromptRetention::settings);
+        settings.map_or(Duration::ZERO, |s| s.prefill_time(u64::from(tokens)))
+    }
+
     /// State of retention; `None` if it is off.
     pub fn retention_status(&self, now: Instant) -> Option<RetentionStatus> {
         self.retention.as_ref().map(|r| r.status(now))
--- a/crates/core/src/dispatch/pool/selection.rs
+++ b/crates/core/src/dispatch/pool/selection.rs
@@ -7,10 +7,12 @@
 use smallvec::SmallVec;
 
 use super::Pool;
+use crate::dispatch::HeldBack;
 use crate::dispatch::Member;
 use crate::dispatch::MemberKey;
+use crate::dispatch::Obstacle;
 use crate::dispatch::SizedPart;
-use crate::dispatch::draw_water_filling;
+use crate::dispatch::water_filling::draw_weighted;
 use crate::dispatch::water_filling::water_filling_weights;
 use crate::fleet::HeartbeatState;
 
@@ -56,14 +58,13 @@
     pub(super) wait_s: f64,
 }
 
-/// Loads of the candidates, and the part of each one's headroom that should be left: the other gateways
-/// have filled an endpoint for as long as it was not observed.
-fn loads_of(
-    candidates: &[Candidate],
-    fleet: &FleetLoad,
-) -> (SmallVec<[f64; 32]>, SmallVec<[f64; 32]>) {
+/// Probability of each candidate by load alone, up to a common factor.
+fn fill_weights(candidates: &[Candidate], fleet: &FleetLoad, arrivals: f64) -> SmallVec<[f64; 32]> {
+    let loads: SmallVec<[f64; 32]> = candidates.iter().map(|c| c.score).collect();
+    // The other gateways have filled an endpoint for as long as it was not observed.
     let unfilled = |c: &Candidate| (-c.age_s / fleet.age_s.max(1e-3)).exp();
-    (candidates.iter().map(|c| c.score).collect(), candidates.iter().map(unfilled).collect())
+    let unfilled: SmallVec<[f64; 32]> = candidates.iter().map(unfilled).collect();
+    water_filling_weights(&loads, &unfilled, arrivals)
 }
 
 impl Pool {
@@ -76,14 +77,42 @@
         parts: &[SizedPart],
         tried: &[MemberKey],
     ) -> Option<MemberKey> {
-        if self.in_flight >= self.limit(now) {
+        let fleet = self.current_fleet_load(now);
+        if self.limit_reached(now, &fleet).is_some() {
             return None;
         }
-        let fleet =
-            if self.limiter.is_some() { self.fleet_load(now) } else { FleetLoad::default() };
-        if self.streams_at_limit(now, &fleet) {
-            return None;
+        let (candidates, weights) = self.rank(now, &fleet, prompt_tokens, parts, tried);
+        let index = match self.limiter {
+            None => weights.iter().position(|w| *w > 0.0)?,
+            Some(_) if candidates.is_empty() => return None,
+            Some(_) => draw_weighted(&weights, &mut self.rng)?,
+        };
+        Some(candidates[index].key)
+    }
+
+    /// Load of all endpoints; not summed up without a limiter, which alone needs it.
+    pub(super) fn current_fleet_load(&self, now: Instant) -> FleetLoad {
+        if self.limiter.is_some() { self.fleet_load(now) } else { FleetLoad::default() }
+    }
+
+    /// Which limit keeps this gateway from sending any request now.
+    pub(super) fn limit_reached(&mut self, now: Instant, fleet: &FleetLoad) -> Option<HeldBack> {
+        if self.in_flight >= self.limit(now) {
+            return Some(HeldBack::GatewayLimit);
         }
+        self.streams_at_limit(now, fleet).then_some(HeldBack::FleetLimit)
+    }
+
+    /// The members that may get the request, and their probabilities up to a common factor. Without a
+    /// limiter, the first one with the lowest score has 1 and the others 0.
+    pub(super) fn rank(
+        &mut self,
+        now: Instant,
+        fleet: &FleetLoad,
+        prompt_tokens: u32,
+        parts: &[SizedPart],
+        tried: &[MemberKey],
+    ) -> (SmallVec<[Candidate; 32]>, SmallVec<[f64; 32]>) {
         self.scan_offset = self.scan_offset.wrapping_add(1);
         let keys: SmallVec<[MemberKey; 32]> = self.members.keys().copied().collect();
         let start = self.scan_offset as usize;
@@ -91,34 +120,58 @@
         for i in 0..keys.len() {
             // The rotating start distributes ties evenly.
             let key = keys[(start + i) % keys.len()];
-            let Some(m) = self.members.get(&key) else { continue };
-            let eligible = m.is_available(now) && self.in_service(m) && !tried.contains(&key);
-            let has_room = m.load(now) < m.registration.heartbeat.slots.max(1)
-                && m.in_flight < self.connection_share(m);
-            if !eligible || !has_room {
+            if self.obstacle(now, key, tried).is_some() {
                 continue;
             }
+            let Some(m) = self.members.get(&key) else { continue };
             let score = self.score(now, m, prompt_tokens);
             let age_s = m.report_age(now).map_or(fleet.age_s, |age| age.as_secs_f64());
-            let cold_share = if m.is_rate_limited(now) { self.cold_share(m) } else { u32::MAX };
-            if self.members.get_mut(&key).is_some_and(|m| m.cold_limit_allows(now, cold_share)) {
-                let (saved_tokens, saved, wait_s) = (0, Duration::ZERO, 0.0);
-                candidates.push(Candidate { key, score, age_s, saved_tokens, saved, wait_s });
-            }
+            let (saved_tokens, saved, wait_s) = (0, Duration::ZERO, 0.0);
+            candidates.push(Candidate { key, score, age_s, saved_tokens, saved, wait_s });
         }
         if self.limiter.is_none() {
-            let cheapest = candidates.iter().min_by(|a, b| a.score.total_cmp(&b.score));
-            return cheapest.map(|c| c.key);
+            let by_score =
+                |a: &usize, b: &usize| candidates[*a].score.total_cmp(&candidates[*b].score);
+            let cheapest = (0..candidates.len()).min_by(by_score);
+            let weights =
+                (0..candidates.len()).map(|i| f64::from(u8::from(cheapest == Some(i)))).collect();
+            return (candidates, weights);
         }
-        let arrivals = self.completion_rate(&fleet) * fleet.age_s;
+        let arrivals = self.completion_rate(fleet) * fleet.age_s;
+        let mut weights = fill_weights(&candidates, fleet, arrivals);
         if self.retention.is_some() {
-            let (loads, unfilled) = loads_of(&candidates, &fleet);
-            let weights = water_filling_weights(&loads, &unfilled, arrivals);
             self.keep_retaining(now, &mut candidates, &weights, parts);
+            weights = fill_weights(&candidates, fleet, arrivals);
         }
-        let (loads, unfilled) = loads_of(&candidates, &fleet);
-        let index = draw_water_filling(&loads, &unfilled, arrivals, &mut self.rng)?;
-        Some(candidates[index].key)
+        (candidates, weights)
+    }
+
+    /// Why a member does not get a request now, if it does not.
+    pub(super) fn obstacle(
+        &mut self,
+        now: Instant,
+        key: MemberKey,
+        tried: &[MemberKey],
+    ) -> Option<Obstacle> {
+        let m = self.members.get(&key)?;
+        if let Some(obstacle) = m.unavailability(now) {
+            return Some(obstacle);
+        }
+        if !self.in_service(m) {
+            return Some(Obstacle::OutOfService);
+        }
+        if tried.contains(&key) {
+            return Some(Obstacle::Tried);
+        }
+        if m.load(now) >= m.registration.heartbeat.slots.max(1) {
+            return Some(Obstacle::Full);
+        }
+        if m.in_flight >= self.connection_share(m) {
+            return Some(Obstacle::NoConnection);
+        }
+        let cold_share = if m.is_rate_limited(now) { self.cold_share(m) } else { u32::MAX };
+        let allowed = self.members.get_mut(&key)?.cold_limit_allows(now, cold_share);
+        (!allowed).then_some(Obstacle::ColdLimit)
     }
 
     /// This gateway's part of the requests per second that a cold endpoint may get.
@@ -196,7 +249,7 @@
     }
 
     /// Estimated cost of one more request at a member; lower is better.
-    fn score(&self, now: Instant, m: &Member, prompt_tokens: u32) -> f64 {
+    pub(super) fn score(&self, now: Instant, m: &Member, prompt_tokens: u32) -> f64 {
         let domain_factor = if m.registration.heartbeat.domain == self.cfg.domain {
             1.0
         } else {
--- a/crates/core/src/dispatch/water_filling.rs
+++ b/crates/core/src/dispatch/water_filling.rs
@@ -22,7 +22,11 @@
     if loads.is_empty() {
         return None;
     }
-    let weights = water_filling_weights(loads, unfilled, arrivals);
+    draw_weighted(&water_filling_weights(loads, unfilled, arrivals), rng)
+}
+
+/// Draws an index with a probability proportional to its weight; `None` if no weight is positive.
+pub(super) fn draw_weighted(weights: &[f64], rng: &mut impl Rng) -> Option<usize> {
     let total: f64 = weights.iter().sum();
     let mut left = rng.random::<f64>() * total;
     let mut last = None;
--- a/crates/core/tests/prompt_cache.rs
+++ b/crates/core/tests/prompt_cache.rs
@@ -440,7 +440,7 @@
         cache.forget(MemberKey(endpoint));
     }
     assert!(cache.is_empty());
-    assert!(ENTRIES_MAX * PromptCache::ENTRY_BYTES <= 2 << 20);
+    const { assert!(ENTRIES_MAX * PromptCache::ENTRY_BYTES <= 2 << 20) };
 }
 
 /// Guards against a record that survives a change of the model or of the engines' figures.
--- a/crates/daemons/src/bin/crocustally-gateway.rs
+++ b/crates/daemons/src/bin/crocustally-gateway.rs
@@ -10,6 +10,7 @@
 use crocustally_gateway::Gateway;
 use crocustally_gateway::GatewaySettings;
 use crocustally_gateway::RawGatewaySettings;
+use crocustally_gateway::WhereQuery;
 use crocustally_net::SystemClock;
 use crocustally_net::timeout;
 use crocustally_platform::GatewayAdapter;
@@ -37,6 +38,10 @@
             let dialect = Arc::new(GatewayAdapter);
             let (gateway, bound) = Gateway::start(&rt, cfg, clock, shutdown, dialect).await?;
             log::info!(callers = bound.callers.to_string().as_str(); "listening");
+            let shared = gateway.clone();
+            state.serve_where(Box::new(move |headers| {
+                WhereQuery::from_headers(headers).map(|query| shared.explain(&query))
+            }));
             rt.spawn(async move {
                 loop {
                     state.set_ready(gateway.is_ready());
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -52,6 +52,28 @@
 /// which has already used up part of its time.
 const CALLER_RETRY_MARGIN: Duration = Duration::from_millis(250);
 
+/// Latest time to start a request that arrived at `arrived`.
+pub(crate) fn queue_deadline(
+    route: &Route,
+    is_caller_retry: bool,
+    arrived: Instant,
+    now: Instant,
+) -> Instant {
+    let late_start = now + LATE_WAIT_MAX;
+    if !route.kind.is_stream() {
+        return (arrived + route.objective.mul_f64(UNARY_WAIT_SHARE)).max(late_start);
+    }
+    if is_caller_retry {
+        return late_start;
+    }
+    (arrived + route.objective.saturating_sub(FIRST_EVENT_LATENCY)).max(late_start)
+}
+
+/// Latest time to wait while no endpoint accepts work.
+pub(crate) fn outage_deadline(may_wait: bool, arrived: Instant, total_time: Duration) -> Instant {
+    if may_wait { arrived + total_time.mul_f64(OUTAGE_WAIT_SHARE) } else { arrived }
+}
+
 /// What is known of a request whose processing may be given up at any moment.
 #[derive(Debug, Default)]
 pub(crate) struct Progress {
@@ -123,25 +145,15 @@
 
     /// Latest time to start the request; after it the request is rejected instead.
     fn queue_deadline(&self) -> Instant {
-        let objective = self.route.objective;
-        let late_start = self.now() + LATE_WAIT_MAX;
-        if !self.route.kind.is_stream() {
-            return (self.arrived + objective.mul_f64(UNARY_WAIT_SHARE)).max(late_start);
-        }
-        if self.is_caller_retry() {
-            return late_start;
-        }
-        (self.arrived + objective.saturating_sub(FIRST_EVENT_LATENCY)).max(late_start)
+        queue_deadline(&self.route, self.is_caller_retry(), self.arrived, self.now())
     }
 
     /// Latest time to wait while no endpoint accepts work. A caller's retry may wait, since there
     /// is no time for another one; so may a request to a gateway that has just started, whose
     /// caller likely has no time for one either. All others are rejected at once.
     fn outage_deadline(&self) -> Instant {
-        if self.is_caller_retry() || self.gateway.is_starting() {
-            return self.arrived + self.total_time().mul_f64(OUTAGE_WAIT_SHARE);
-        }
-        self.arrived
+        let may_wait = self.is_caller_retry() || self.gateway.is_starting();
+        outage_deadline(may_wait, self.arrived, self.total_time())
     }
 
     /// Time from arrival to the deadline.
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -41,7 +41,7 @@
 /// Divisor of the caller's timeout; the quotient also bounds the wait for the first policy.
 const POLICY_WAIT_DIVISOR: u32 = 4;
 /// `Retry-After` of a request that was rejected since the gateway has no policy yet.
-const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(1000);
+pub(crate) const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(1000);
 /// `Retry-After` of a request that a stopping gateway has not run. Its caller's next connection goes to
 /// another gateway.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
@@ -99,9 +99,9 @@
 type Rejection = Box<Response<ResponseBody>>;
 
 /// Route and workspace of an authorized request; the workspace comes with its priority.
-struct Authorized {
-    route: Route,
-    workspace: Option<(String, Option<u8>)>,
+pub(crate) struct Authorized {
+    pub(crate) route: Route,
+    pub(crate) workspace: Option<(String, Option<u8>)>,
 }
 
 async fn admit(
@@ -192,7 +192,12 @@
     })
 }
 
-fn authorize(policy: &TrafficPolicy, meta: &RequestHead, path: &str) -> Result<Authorized, Code> {
+/// Looks up the route and the workspace of a request.
+pub(crate) fn authorize(
+    policy: &TrafficPolicy,
+    meta: &RequestHead,
+    path: &str,
+) -> Result<Authorized, Code> {
     let route = policy.route(&meta.host, path).ok_or(Code::UnknownService)?.clone();
     let workspace = meta.api_key.as_deref().and_then(|key| policy.workspace(key));
     if workspace.is_none() && policy.has_workspaces() && !route.public {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -41,9 +41,11 @@
 
 use crate::GatewayDialect;
 use crate::GatewaySettings;
+use crate::WhereQuery;
 use crate::endpoint_ends;
 use crate::endpoint_ends::CrashReports;
 use crate::endpoint_ends::Trials;
+use crate::explain;
 use crate::feed;
 use crate::followed_controls::FollowedControls;
 use crate::frontend;
@@ -291,11 +293,19 @@
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Where the gateway would send a request now, and why, as JSON. Nothing is sent and no state changes.
+    pub fn explain(&self, query: &WhereQuery) -> String {
+        explain::explain(self, query).to_string()
+    }
+
+    /// The slot pool of a service, if there is one.
+    pub(crate) fn existing_pool(&self, service: &str) -> Option<Arc<SlotPool>> {
+        self.pools.read().unwrap_or_else(PoisonError::into_inner).get(service).cloned()
+    }
+
     /// The slot pool of a service, created if needed.
     pub(crate) fn pool(&self, service: &str) -> Arc<SlotPool> {
-        let existing =
-            self.pools.read().unwrap_or_else(PoisonError::into_inner).get(service).cloned();
-        existing.unwrap_or_else(|| {
+        self.existing_pool(service).unwrap_or_else(|| {
             let policy = self.policy();
             let settings_in = |p: &Arc<TrafficPolicy>| {
                 p.services().iter().find(|s| s.name == service).map(|s| self.pool_settings(p, s))
--- a/crates/net/src/admin.rs
+++ b/crates/net/src/admin.rs
@@ -1,12 +1,14 @@
-//! The admin server: `/metrics`, `/healthz` and `/readyz`.
+//! The admin server: `/metrics`, `/healthz`, `/readyz` and, at gateways, `/where`.
 
 use std::fs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
+use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -65,13 +67,32 @@
     }
 }
 
-/// The readiness that the admin server reports.
-#[derive(Clone, Debug, Default)]
+/// Answers a `/where` query, given by its headers, in JSON; `None` if the headers are malformed.
+pub type WhereHandler = Box<dyn Fn(&HeaderMap) -> Option<String> + Send + Sync>;
+
+/// The readiness that the admin server reports, and its queries.
+#[derive(Clone, Default)]
 pub struct AdminState {
     ready: Arc<AtomicBool>,
+    where_handler: Arc<OnceLock<WhereHandler>>,
 }
 
 impl AdminState {
+    /// Serves `/where` by `handler`, unless there is a handler already.
+    pub fn serve_where(&self, handler: WhereHandler) {
+        let _ = self.where_handler.set(handler);
+    }
+
+    fn answer_where(&self, headers: &HeaderMap) -> Response<ResponseBody> {
+        let Some(handler) = self.where_handler.get() else {
+            return plain_response(StatusCode::NOT_FOUND, "not a gateway\n".to_owned());
+        };
+        match handler(headers) {
+            Some(json) => plain_response(StatusCode::OK, json),
+            None => plain_response(StatusCode::BAD_REQUEST, "malformed query\n".to_owned()),
+        }
+    }
+
     /// Sets whether the process is ready to serve.
     pub fn set_ready(&self, ready: bool) {
         self.ready.store(ready, Ordering::Release);
@@ -116,6 +137,7 @@
         "/readyz" if state.is_ready() => plain_response(StatusCode::OK, "ready\n".to_owned()),
         "/readyz" => plain_response(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
         "/metrics" => plain_response(StatusCode::OK, metrics_handle().render()),
+        "/where" => state.answer_where(req.headers()),
         _ => plain_response(StatusCode::NOT_FOUND, "not found\n".to_owned()),
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -36,6 +36,7 @@
 
 pub use admin::AdminSettings;
 pub use admin::AdminState;
+pub use admin::WhereHandler;
 pub use admin::serve_admin;
 pub use async_signal::Signals;
 pub use body_framing::BodyFraming;
--- a/crates/programs/tests/cli.rs
+++ b/crates/programs/tests/cli.rs
@@ -99,6 +99,29 @@
     });
 }
 
+/// Guards against a key that is printed, and against a failure that does not name the address.
+#[test]
+fn where_names_the_gateway_that_does_not_answer_and_hides_the_key() {
+    let path = std::env::temp_dir().join(format!("where-key-{}", std::process::id()));
+    std::fs::write(&path, "key-of-north\n").unwrap();
+    let ask = |args: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_crocustally"));
+        command.arg("where").arg("--key-file").arg(&path).args(args);
+        command.output().unwrap()
+    };
+    // Nothing listens on port 1.
+    let out = ask(&["--gateway", "127.0.0.1:1", "--prompt", "5c1e:800,e4:250", "h", "/v1/chat"]);
+    assert_eq!(out.status.code(), Some(1));
+    let stderr = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert!(stderr.contains("127.0.0.1:1: not reached"), "{stderr}");
+    assert!(!(stderr + &stdout_text(&out)).contains("key-of-north"));
+    for bad in [["--prompt", "5c1e", "h", "/"], ["--tokens", "4", "h", "no-slash"]] {
+        let args = [&["--gateway", "127.0.0.1:1"][..], &bad[..]].concat();
+        assert_eq!(ask(&args).status.code(), Some(2), "{bad:?}");
+    }
+    std::fs::remove_file(&path).unwrap();
+}
+
 #[test]
 fn check_validates_tickets_without_a_deployment() {
     let path = std::env::temp_dir().join(format!("ticket-{}.yaml", std::process::id()));
