Test: unreported requests for a retained prompt count once for each gateway

Cause: the test of a hot prefix also passes without this rule, as a trial that removed it showed.

Change: a test compares the choice with 1 and 15 gateways after one unreported request.

Result: it passes, and fails with the rule removed.

--- a/crates/core/tests/prompt_cache.rs
+++ b/crates/core/tests/prompt_cache.rs
@@ -253,6 +253,24 @@
     assert!(to_hot < sent / 3, "{to_hot} of {sent} went to the endpoint that holds the beginning");
 }
 
+/// Hot prefix: guards against gateways that all send to the same endpoint between two of its reports.
+#[test]
+fn unreported_request_counts_once_for_each_gateway() {
+    let now = Instant::now();
+    for (gateways, certain) in [(1, true), (15, false)] {
+        let mut pool = pool_with_load(now, pool_settings(0, gateways, Some(retention())), 3);
+        let key = serve(&mut pool, now, &prompt(7));
+        let is_certain = |pool: &Pool| {
+            let explained = pool.explain(now + MS, &request(now + MS, &prompt(7)));
+            explained.members.iter().any(|m| m.key == key && m.probability == 1.0)
+        };
+        assert!(is_certain(&pool));
+        assert_eq!(send(&mut pool, now + MS, &prompt(7)), Some(key));
+        pool.response_started(now + MS, key, PROMPT_TOKENS, MS);
+        assert_eq!(is_certain(&pool), certain, "{gateways} gateways");
+    }
+}
+
 /// Full endpoint: guards against a saving that overrides the slots of an endpoint.
 #[test]
 fn full_endpoint_is_not_chosen_for_what_it_holds() {
