--- a/crates/core/src/dispatch/groups.rs
+++ b/crates/core/src/dispatch/groups.rs
@@ -211,6 +211,11 @@
         g.limiter.record_gap(now, gap, g.load.in_flight);
     }
 
+    /// State of a group as of the last scan; `None` if the group is not known.
+    pub fn state(&self, key: u64) -> Option<GroupState> {
+        self.groups.get(&key).map(|g| g.state)
+    }
+
     /// Whether a group gets requests, as of the last scan.
     pub fn accepts(&self, key: u64) -> bool {
         self.groups.get(&key).is_some_and(|g| g.state == GroupState::Open)
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -1,8 +1,10 @@
 //! [`Pool`]: endpoint selection and queueing for one service in one gateway.
 
 mod connections;
+mod explain;
 mod kv;
 mod reach;
+mod retention;
 mod selection;
 
 use std::collections::BTreeMap;
@@ -17,6 +19,7 @@
 use rand_chacha::ChaCha8Rng;
 use smallvec::SmallVec;
 
+use self::selection::Demand;
 use super::Admission;
 use super::AdmissionClass;
 use super::AdmissionLimit;
@@ -32,9 +35,12 @@
 use super::Member;
 use super::MemberKey;
 use super::PassModel;
+use super::PromptRetention;
 use super::RankState;
 use super::RequestOutcome;
+use super::RetentionSettings;
 use super::SharedReachability;
+use super::SizedPart;
 use super::SlidingWindow;
 use super::Ticket;
 use super::queue::Demotion;
@@ -73,6 +79,8 @@
     pub connections_max: u32,
     /// KV memory of the engines; `None` if it is not limited.
     pub kv: Option<KvSettings>,
+    /// How endpoints retain prompts; `None` if they keep none after a request.
+    pub retention: Option<RetentionSettings>,
     /// Seed of the random endpoint choice; must differ between gateways.
     pub seed: u64,
 }
@@ -91,6 +99,7 @@
             gateways: GatewaySet::new(0, 1..4, true),
             connections_max: 256,
             kv: None,
+            retention: None,
             seed: 0,
         }
     }
@@ -110,6 +119,8 @@
     pub prompt_tokens: u32,
     /// Maximum length of the response in tokens; 0 if the request sets none.
     pub max_response_tokens: u32,
+    /// Parts of the prompt in order; empty if unknown.
+    pub parts: SmallVec<[SizedPart; 4]>,
     /// Latest time at which the request may be sent; after that it is refused.
     pub queue_deadline: Instant,
     /// With admission by urgency, the latest time at which a late request may be sent: after it, the
@@ -192,6 +203,7 @@
     limiter: Option<Limiter>,
     admission: Option<Admission>,
     groups: Groups,
+    retention: Option<PromptRetention>,
     in_flight: u32,
     queue: WaitQueue,
     hold_ms: Ewma,
@@ -224,6 +236,7 @@
             groups,
             limiter: cfg.limiter.map(Limiter::new),
             admission: cfg.admission.clone().map(Admission::new),
+            retention: cfg.retention.clone().map(PromptRetention::new),
             first_attempts: SlidingWindow::new(cfg.retry_span),
             retries: SlidingWindow::new(cfg.retry_span),
             rng: ChaCha8Rng::seed_from_u64(cfg.seed),
@@ -262,6 +275,10 @@
             self.admission = cfg.admission.clone().map(Admission::new);
         }
         self.groups.configure(cfg.limiter.unwrap_or_default(), cfg.pass_model.clone());
+        // Other figures mean another engine or model, which holds nothing of the prompts before.
+        if self.cfg.retention != cfg.retention {
+            self.retention = cfg.retention.clone().map(PromptRetention::new);
+        }
         self.cfg = cfg;
         admission_changed
     }
@@ -287,16 +304,24 @@
             member.inherit(before);
         }
         self.members.insert(key, member);
-        self.by_id.insert(id.clone(), key);
+        let previous = self.by_id.insert(id.clone(), key);
+        if let (Some(previous), Some(r)) = (previous, &mut self.retention) {
+            r.forget(previous);
+        }
         self.by_address.insert(address_key(&registration.heartbeat.address), key);
         self.drop_ended_incarnations();
     }
 
     /// Removes replaced or unregistered members that have no requests in flight.
     fn drop_ended_incarnations(&mut self) {
-        let by_id = &self.by_id;
-        self.members
-            .retain(|k, m| m.in_flight > 0 || by_id.get(&m.registration.heartbeat.id) == Some(k));
+        let (by_id, retention) = (&self.by_id, &mut self.retention);
+        self.members.retain(|k, m| {
+            let current = by_id.get(&m.registration.heartbeat.id) == Some(k);
+            if let Some(r) = retention.as_mut().filter(|_| !current) {
+                r.forget(*k);
+            }
+            m.in_flight > 0 || current
+        });
         let members = &self.members;
         self.by_address.retain(|_, key| members.contains_key(key));
     }
@@ -439,19 +464,19 @@
             EarlierSends::Arrived if self.may_retry(now) => {}
             EarlierSends::Arrived => return self.refuse(Code::RetryBudgetSpent, RETRY_AFTER_MIN),
         }
-        let mut place = self.queue_place(now, req);
-        if let (Some(admission), Some(class)) = (&mut self.admission, place.class) {
-            admission.record_arrival(now, class);
-        }
+        let mut place = self.arrive(now, req);
         let kv_tokens = self.kv_need(req);
         if self.exceeds_kv(kv_tokens) {
             return self.refuse(Code::Overloaded, RETRY_AFTER_MAX);
         }
+        let demand = Demand {
+            prompt_tokens: req.prompt_tokens,
+            kv_tokens,
+            parts: &req.parts,
+            tried: &req.tried,
+        };
         let none_ahead = self.queue.ahead(place.priority) == 0;
-        if none_ahead
-            && let Some(key) =
-                self.choose_for(now, &place, (req.prompt_tokens, kv_tokens), &req.tried)
-        {
+        if none_ahead && let Some(key) = self.choose_for(now, &place, &demand) {
             self.assign(now, key, (req.prompt_tokens, kv_tokens), req.earlier);
             self.record_admission(now, place.class, req.workspace, true);
             return DispatchDecision::Send(key);
@@ -463,14 +488,7 @@
             return self.wait_out_outage(now, req, place);
         }
         self.outage_since = None;
-        let mut queue_time = self.expected_wait(now, self.queue.ahead(place.priority) + 1);
-        if let Some(demotion) = place.demotion
-            && now + queue_time > demotion.at
-        {
-            // It would miss its objective in any case, and must not delay those that can meet theirs.
-            place.demote(demotion);
-            queue_time = self.expected_wait(now, self.queue.ahead(place.priority) + 1);
-        }
+        let queue_time = self.wait_in_queue(now, &mut place);
         if now + queue_time > place.deadline {
             self.record_admission(now, place.class, req.workspace, false);
             let retry_after = self.next_retry_after(now).min(req.return_time_max);
@@ -479,6 +497,17 @@
         self.enqueue(req, place)
     }
 
+    /// Expected time in the queue. A request that would miss its objective there gets its later place.
+    fn wait_in_queue(&self, now: Instant, place: &mut QueuePlace) -> Duration {
+        let queue_time = self.expected_wait(now, self.queue.ahead(place.priority) + 1);
+        let Some(demotion) = place.demotion.filter(|d| now + queue_time > d.at) else {
+            return queue_time;
+        };
+        // It would miss its objective in any case, and must not delay those that can meet theirs.
+        place.demote(demotion);
+        self.expected_wait(now, self.queue.ahead(place.priority) + 1)
+    }
+
     /// Decides on a request while no endpoint accepts work.
     fn wait_out_outage(
         &mut self,
@@ -503,6 +532,15 @@
         self.refuse(Code::NoEndpoint, req.return_time_max.max(RETRY_AFTER_MIN))
     }
 
+    /// Counts an arrived request in its class; returns its place in the queue.
+    fn arrive(&mut self, now: Instant, req: &DispatchRequest) -> QueuePlace {
+        let place = self.queue_place(now, req);
+        if let (Some(admission), Some(class)) = (&mut self.admission, place.class) {
+            admission.record_arrival(now, class);
+        }
+        place
+    }
+
     /// Where the request stands in the queue, and until when.
     fn queue_place(&self, now: Instant, req: &DispatchRequest) -> QueuePlace {
         let Some(admission) = self.admission.as_ref().filter(|_| self.admits_by_urgency()) else {
@@ -539,6 +577,7 @@
             workspace_admitted: 0.0,
             prompt_tokens: req.prompt_tokens,
             kv_tokens: self.kv_need(req),
+            parts: req.parts.clone(),
             retry_after: RETRY_AFTER_MIN,
             return_time_max: req.return_time_max,
             tried: req.tried.clone(),
@@ -552,15 +591,19 @@
         &mut self,
         now: Instant,
         place: &QueuePlace,
-        (prompt_tokens, kv_tokens): (u32, u32),
-        tried: &[MemberKey],
+        demand: &Demand<'_>,
     ) -> Option<MemberKey> {
+        let limit = self.admission_limit(now, place);
+        self.choose_member(now, limit, demand)
+    }
+
+    /// How far a request in this place may fill the fleet.
+    fn admission_limit(&mut self, now: Instant, place: &QueuePlace) -> AdmissionLimit {
         let own_places = self.own_places();
-        let limit = match (&mut self.admission, place.class) {
+        match (&mut self.admission, place.class) {
             (Some(admission), Some(class)) => admission.limit(now, class, own_places),
             _ => AdmissionLimit::default(),
-        };
-        self.choose_member(now, limit, prompt_tokens, kv_tokens, tried)
+        }
     }
 
     fn record_admission(
@@ -635,6 +678,9 @@
         if let Some(m) = self.members.get_mut(&key) {
             m.record_outcome(now, outcome);
             m.release_kv(kv_tokens);
+            if let (RequestOutcome::Ended, Some(r)) = (outcome, &mut self.retention) {
+                r.forget(key);
+            }
             let ended = self.by_id.get(&m.registration.heartbeat.id) != Some(&key);
             if ended {
                 self.drop_ended_incarnations();
@@ -667,7 +713,13 @@
                 queue.rank_workspaces(|w| admission.workspace_shares().recent(now, w));
             }
             let next = queue.pop_first_placeable(|w| {
-                self.choose_for(now, &w.place, (w.prompt_tokens, w.kv_tokens), &w.tried)
+                let demand = Demand {
+                    prompt_tokens: w.prompt_tokens,
+                    kv_tokens: w.kv_tokens,
+                    parts: &w.parts,
+                    tried: &w.tried,
+                };
+                self.choose_for(now, &w.place, &demand)
             });
             self.queue = queue;
             let Some((w, key)) = next else { return outcomes };
--- a/crates/core/tests/connections.rs
+++ b/crates/core/tests/connections.rs
@@ -62,6 +62,7 @@
         return_time_max: 2500 * MS,
         prompt_tokens: 800,
         max_response_tokens: 0,
+        parts: Default::default(),
         queue_deadline: now,
         outage_deadline: now,
         tried: Default::default(),
--- a/crates/core/tests/reachability.rs
+++ b/crates/core/tests/reachability.rs
@@ -65,6 +65,7 @@
         return_time_max: 2500 * MS,
         prompt_tokens: 0,
         max_response_tokens: 0,
+        parts: Default::default(),
         queue_deadline: now + 150 * MS,
         outage_deadline: now,
         tried: Default::default(),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -60,6 +60,53 @@
 /// which has already used up part of its time.
 const CALLER_RETRY_MARGIN: Duration = Duration::from_millis(250);
 
+/// Latest time to start a request that arrived at `arrived`, or with admission by urgency, to start it on
+/// time. `elapsed_before` is the time since the caller's first attempt, zero if this is the first.
+pub(crate) fn queue_deadline(
+    route: &Route,
+    admits_by_urgency: bool,
+    elapsed_before: Duration,
+    arrived: Instant,
+    now: Instant,
+) -> Instant {
+    let late_start = now + LATE_WAIT_MAX;
+    if !route.kind.is_stream() {
+        return (arrived + route.objective.mul_f64(UNARY_WAIT_SHARE)).max(late_start);
+    }
+    let on_time = route.objective.saturating_sub(FIRST_EVENT_LATENCY);
+    if admits_by_urgency {
+        return arrived + on_time.saturating_sub(elapsed_before);
+    }
+    if !elapsed_before.is_zero() {
+        return late_start;
+    }
+    (arrived + on_time).max(late_start)
+}
+
+/// Latest time to start a late request: the caller must get its first event before it gives up, and the
+/// last one before the deadline.
+pub(crate) fn late_deadline(
+    route: &Route,
+    arrived: Instant,
+    deadline: Instant,
+    mean_hold: Duration,
+) -> Instant {
+    let patience = route.first_event_patience.unwrap_or(route.timeout);
+    let first_event_due = arrived + patience.saturating_sub(LATE_FIRST_EVENT_LATENCY);
+    let finish_due = deadline.checked_sub(mean_hold * USUAL_HOLDS).unwrap_or(arrived);
+    first_event_due.min(finish_due)
+}
+
+/// Longest `Retry-After` that a caller honours.
+pub(crate) fn return_time_max(remaining: Duration) -> Duration {
+    remaining / RETURN_TIME_DIVISOR
+}
+
+/// Latest time to wait while no endpoint accepts work.
+pub(crate) fn outage_deadline(may_wait: bool, arrived: Instant, total_time: Duration) -> Instant {
+    if may_wait { arrived + total_time.mul_f64(OUTAGE_WAIT_SHARE) } else { arrived }
+}
+
 /// What is known of a request whose processing may be given up at any moment.
 #[derive(Debug, Default)]
 pub(crate) struct Progress {
@@ -146,39 +193,27 @@
     /// Latest time to start the request, or with admission by urgency, to start it on time. After it, the
     /// request is rejected or waits behind those that can still be on time.
     fn queue_deadline(&self) -> Instant {
-        let objective = self.route.objective;
-        let late_start = self.now() + LATE_WAIT_MAX;
-        if !self.route.kind.is_stream() {
-            return (self.arrived + objective.mul_f64(UNARY_WAIT_SHARE)).max(late_start);
-        }
-        let on_time = objective.saturating_sub(FIRST_EVENT_LATENCY);
-        if self.admits_by_urgency {
-            return self.arrived + on_time.saturating_sub(self.elapsed_before());
-        }
-        if self.is_caller_retry() {
-            return late_start;
-        }
-        (self.arrived + on_time).max(late_start)
+        queue_deadline(
+            &self.route,
+            self.admits_by_urgency,
+            self.elapsed_before(),
+            self.arrived,
+            self.now(),
+        )
     }
 
-    /// Latest time to start a late request: the caller must get its first event before it gives up, and the
-    /// last one before the deadline.
+    /// Latest time to start a late request.
     fn late_deadline(&self) -> Instant {
-        let patience = self.route.first_event_patience.unwrap_or(self.route.timeout);
-        let first_event_due = self.arrived + patience.saturating_sub(LATE_FIRST_EVENT_LATENCY);
-        let hold = self.slot_pool.with_pool(|pool| pool.mean_hold()) * USUAL_HOLDS;
-        let finish_due = self.deadline.checked_sub(hold).unwrap_or(self.arrived);
-        first_event_due.min(finish_due)
+        let mean_hold = self.slot_pool.with_pool(|pool| pool.mean_hold());
+        late_deadline(&self.route, self.arrived, self.deadline, mean_hold)
     }
 
     /// Latest time to wait while no endpoint accepts work. A caller's retry may wait, since there
     /// is no time for another one; so may a request to a gateway that has just started, whose
     /// caller likely has no time for one either. All others are rejected at once.
     fn outage_deadline(&self) -> Instant {
-        if self.is_caller_retry() || self.gateway.is_starting() {
-            return self.arrived + self.total_time().mul_f64(OUTAGE_WAIT_SHARE);
-        }
-        self.arrived
+        let may_wait = self.is_caller_retry() || self.gateway.is_starting();
+        outage_deadline(may_wait, self.arrived, self.total_time())
     }
 
     /// Time from arrival to the deadline.
@@ -194,9 +229,10 @@
             workspace: self.workspace_key,
             prompt_tokens: self.meta.prompt_tokens,
             max_response_tokens: self.meta.max_response_tokens,
+            parts: self.meta.prompt.clone(),
             queue_deadline: self.queue_deadline().min(self.deadline),
             late_deadline: self.late_deadline(),
-            return_time_max: self.remaining() / RETURN_TIME_DIVISOR,
+            return_time_max: return_time_max(self.remaining()),
             outage_deadline: self.outage_deadline(),
             tried: self.tried.clone(),
             earlier: self.earlier,
@@ -361,10 +397,17 @@
         if let Some(first_byte) = self.first_byte {
             metrics::histogram!("crocustally_first_byte_seconds").record(first_byte.as_secs_f64());
         }
-        let (in_flight, limit, waiting, pass) =
-            self.gateway.pool(&self.service).with_pool(|pool| {
-                (pool.in_flight(), pool.limit(now), pool.queue_len(), pool.mean_pass(now))
-            });
+        let slot_pool = self.gateway.pool(&self.service);
+        let (in_flight, limit, waiting, pass) = slot_pool.with_pool(|pool| {
+            (pool.in_flight(), pool.limit(now), pool.queue_len(), pool.mean_pass(now))
+        });
+        if let Some(status) = slot_pool.with_pool(|pool| pool.retention_status(now)) {
+            let service = || self.service.clone();
+            metrics::gauge!("crocustally_prompt_entries", "service" => service())
+                .set(status.entries as f64);
+            metrics::gauge!("crocustally_prompts_not_retained", "service" => service())
+                .set(f64::from(u8::from(status.keeps_nothing)));
+        }
         let tries: Vec<String> = self
             .tries
             .iter()
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use crocustally_core::dispatch::LimiterSettings;
 use crocustally_core::dispatch::PassModel;
 use crocustally_core::dispatch::PoolSettings;
+use crocustally_core::dispatch::RetentionSettings;
 use crocustally_core::dispatch::SharedReachability;
 use crocustally_core::fleet::Registry;
 use crocustally_core::traffic::Route;
@@ -46,10 +47,12 @@
 
 use crate::GatewayDialect;
 use crate::GatewaySettings;
+use crate::WhereQuery;
 use crate::endpoint_clients::EndpointClients;
 use crate::endpoint_ends;
 use crate::endpoint_ends::CrashReports;
 use crate::endpoint_ends::Trials;
+use crate::explain;
 use crate::feed;
 use crate::followed_controls::FollowedControls;
 use crate::frontend;
@@ -315,11 +318,19 @@
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Where the gateway would send a request now, and why, as JSON. Nothing is sent and no state changes.
+    pub fn explain(&self, query: &WhereQuery) -> String {
+        explain::explain(self, query).to_string()
+    }
+
+    /// The slot pool of a service, if there is one.
+    pub(crate) fn existing_pool(&self, service: &str) -> Option<Arc<SlotPool>> {
+        self.pools.read().unwrap_or_else(PoisonError::into_inner).get(service).cloned()
+    }
+
     /// The slot pool of a service, created if needed.
     pub(crate) fn pool(&self, service: &str) -> Arc<SlotPool> {
-        let existing =
-            self.pools.read().unwrap_or_else(PoisonError::into_inner).get(service).cloned();
-        existing.unwrap_or_else(|| {
+        self.existing_pool(service).unwrap_or_else(|| {
             let policy = self.policy();
             let settings_in = |p: &Arc<TrafficPolicy>| {
                 p.services().iter().find(|s| s.name == service).map(|s| self.pool_settings(p, s))
@@ -401,6 +412,7 @@
             cold_per_s: service.cold_per_s * self.cfg.cold_factor + self.cfg.cold_slack,
             gateways,
             connections_max: service.connections_max,
+            retention: self.retention_settings(service),
             seed: own,
         }
     }
@@ -435,6 +447,21 @@
         addresses.iter().for_each(|a| self.clients.discard_idle(*a));
     }
 
+    /// How the endpoints of a service retain prompts; `None` unless the settings say so and the policy
+    /// has the figures that weigh a saving.
+    fn retention_settings(&self, service: &ServicePolicy) -> Option<RetentionSettings> {
+        let (cfg, engine) = (self.cfg.prompt_retention?, service.engine.clone()?);
+        let settings = RetentionSettings { ttl: cfg.ttl, kv_share: cfg.kv_share, engine };
+        if !settings.is_usable() {
+            log::warn!(
+                service = service.name.as_str();
+                "prompt retention is off: the policy lacks prefill rate or KV memory of the engines"
+            );
+            return None;
+        }
+        Some(settings)
+    }
+
     /// The HTTP client for an endpoint's address, created if needed.
     pub(crate) fn endpoint_client(&self, address: SocketAddr) -> Arc<HttpClient> {
         self.clients.client(address)
