--- a/crates/core/src/dispatch/pool/connections.rs
+++ b/crates/core/src/dispatch/pool/connections.rs
@@ -9,6 +9,7 @@
 
 use super::Pool;
 use super::reach;
+use super::selection::Candidate;
 use crate::dispatch::IdleConnections;
 use crate::dispatch::Member;
 use crate::dispatch::MemberKey;
@@ -43,25 +44,30 @@
     /// Index of a candidate with an idle connection whose load is about that of the one at `index`,
     /// which is chosen if there is none. The choice among several is random, so that all gateways
     /// together do not turn to one endpoint.
-    pub(super) fn prefer_connected(
-        &mut self,
-        candidates: &[(MemberKey, f64, f64)],
+    pub(super) fn prefer_connected(&mut self, candidates: &[Candidate], index: usize) -> usize {
+        let connected = self.connected_instead(candidates, index);
+        if connected.is_empty() {
+            return index;
+        }
+        connected[self.rng.random_range(0..connected.len())]
+    }
+
+    /// Indices of the candidates that are preferred to the one at `index`; empty if that is kept.
+    pub(super) fn connected_instead(
+        &self,
+        candidates: &[Candidate],
         index: usize,
-    ) -> usize {
-        let Some(idle) = &self.idle_connections else { return index };
+    ) -> SmallVec<[usize; 32]> {
+        let Some(idle) = &self.idle_connections else { return SmallVec::new() };
         let is_connected = |i: usize| {
-            let member = self.members.get(&candidates[i].0);
+            let member = self.members.get(&candidates[i].key);
             member.is_some_and(|m| idle.idle_connections(m.address()) > 0)
         };
         if is_connected(index) {
-            return index;
+            return SmallVec::new();
         }
-        let load_max = candidates[index].1 + LOAD_TOLERANCE;
-        let near = (0..candidates.len()).filter(|i| candidates[*i].1 <= load_max);
-        let connected: SmallVec<[usize; 32]> = near.filter(|i| is_connected(*i)).collect();
-        if connected.is_empty() {
-            return index;
-        }
-        connected[self.rng.random_range(0..connected.len())]
+        let load_max = candidates[index].score + LOAD_TOLERANCE;
+        let near = (0..candidates.len()).filter(|i| candidates[*i].score <= load_max);
+        near.filter(|i| is_connected(*i)).collect()
     }
 }
--- a/crates/core/src/dispatch/pool/selection.rs
+++ b/crates/core/src/dispatch/pool/selection.rs
@@ -5,13 +5,20 @@
 
 use rand::RngExt;
 use smallvec::SmallVec;
+use smallvec::smallvec;
 
 use super::Pool;
+use super::reach::Avoidance;
 use super::reach::Preference;
 use crate::dispatch::AdmissionLimit;
+use crate::dispatch::GroupState;
+use crate::dispatch::HeldBack;
 use crate::dispatch::Member;
 use crate::dispatch::MemberKey;
-use crate::dispatch::draw_water_filling;
+use crate::dispatch::Obstacle;
+use crate::dispatch::SizedPart;
+use crate::dispatch::water_filling::draw_weighted;
+use crate::dispatch::water_filling::water_filling_weights;
 use crate::fleet::HeartbeatState;
 
 /// Cost factor of a member in another failure domain.
@@ -40,6 +47,54 @@
     age_s: f64,
 }
 
+/// A member that could get a request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Candidate {
+    pub(super) key: MemberKey,
+    /// Estimated cost of the request there; lower is better.
+    pub(super) score: f64,
+    /// Age of the member's load report in seconds; the mean age without one.
+    pub(super) age_s: f64,
+    /// Tokens of the prompt that it is believed to hold.
+    pub(super) saved_tokens: u32,
+    /// Time saved by them.
+    pub(super) saved: Duration,
+    /// Wait there, for comparison with the others; 0 unless the service retains prompts.
+    pub(super) wait_s: f64,
+}
+
+/// What a request asks of a member.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Demand<'a> {
+    pub(super) prompt_tokens: u32,
+    /// KV memory in tokens.
+    pub(super) kv_tokens: u32,
+    /// Parts of the prompt in order.
+    pub(super) parts: &'a [SizedPart],
+    /// Members to which the request has been sent already.
+    pub(super) tried: &'a [MemberKey],
+}
+
+/// The members that may get a request.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Ranking {
+    pub(super) candidates: SmallVec<[Candidate; 32]>,
+    /// Probabilities of the candidates, up to a common factor. Without a limiter, the first one with
+    /// the lowest score has 1 and the others 0.
+    pub(super) weights: SmallVec<[f64; 32]>,
+    /// Whether the request probes the failure domain of its only candidate.
+    pub(super) is_probe: bool,
+}
+
+/// Probability of each candidate by load alone, up to a common factor.
+fn fill_weights(candidates: &[Candidate], fleet: &FleetLoad, arrivals: f64) -> SmallVec<[f64; 32]> {
+    let loads: SmallVec<[f64; 32]> = candidates.iter().map(|c| c.score).collect();
+    // The other gateways have filled an endpoint for as long as it was not observed.
+    let unfilled = |c: &Candidate| (-c.age_s / fleet.age_s.max(1e-3)).exp();
+    let unfilled: SmallVec<[f64; 32]> = candidates.iter().map(unfilled).collect();
+    water_filling_weights(&loads, &unfilled, arrivals)
+}
+
 impl Pool {
     /// Selects the member for a request among those with a free slot: with a limiter by a weighted
     /// random draw, otherwise the one with the lowest cost. The request may fill the fleet as
@@ -48,83 +103,191 @@
         &mut self,
         now: Instant,
         admission: AdmissionLimit,
-        prompt_tokens: u32,
-        kv_tokens: u32,
-        tried: &[MemberKey],
+        demand: &Demand<'_>,
     ) -> Option<MemberKey> {
-        if self.refusals.is_closed(now) {
-            return None;
+        let fleet = self.limit_reached(now, admission).ok()?;
+        let avoidance = self.avoidance(now, demand.tried);
+        let Ranking { candidates, weights, is_probe } = self.rank(now, &fleet, demand, &avoidance);
+        if is_probe {
+            let key = candidates.first()?.key;
+            self.record_probe(now, key);
+            return Some(key);
         }
-        let split = self.has_groups();
-        let fleet = if split {
-            self.scan_groups(now, admission);
-            let (requests, age_s) = self.groups.open_load();
-            FleetLoad { requests, age_s, ..FleetLoad::default() }
-        } else {
-            if f64::from(self.in_flight) >= f64::from(self.limit(now)) * admission.ceiling {
-                return None;
-            }
-            let fleet =
-                if self.limiter.is_some() { self.fleet_load(now) } else { FleetLoad::default() };
-            if self.streams_at_limit(now, &fleet, admission) {
-                return None;
+        let index = match self.limiter {
+            None => weights.iter().position(|w| *w > 0.0)?,
+            Some(_) if candidates.is_empty() => return None,
+            Some(_) => {
+                let index = draw_weighted(&weights, &mut self.rng)?;
+                self.prefer_connected(&candidates, index)
             }
-            fleet
         };
+        Some(candidates[index].key)
+    }
+
+    /// Load of all endpoints, with several groups of those in the groups that get requests. Not summed
+    /// up without a limiter, which alone needs it.
+    pub(super) fn current_fleet_load(
+        &mut self,
+        now: Instant,
+        admission: AdmissionLimit,
+    ) -> FleetLoad {
+        if self.has_groups() {
+            self.scan_groups(now, admission);
+            let (requests, age_s) = self.groups.open_load();
+            return FleetLoad { requests, age_s, ..FleetLoad::default() };
+        }
+        if self.limiter.is_some() { self.fleet_load(now) } else { FleetLoad::default() }
+    }
+
+    /// The load of the fleet, or the limit that keeps this gateway from sending any request now. Several
+    /// groups have limits of their own, see [`Pool::obstacle`].
+    pub(super) fn limit_reached(
+        &mut self,
+        now: Instant,
+        admission: AdmissionLimit,
+    ) -> Result<FleetLoad, HeldBack> {
+        if self.refusals.is_closed(now) {
+            return Err(HeldBack::Refusals);
+        }
+        if self.has_groups() {
+            return Ok(self.current_fleet_load(now, admission));
+        }
+        if f64::from(self.in_flight) >= f64::from(self.limit(now)) * admission.ceiling {
+            return Err(HeldBack::GatewayLimit);
+        }
+        let fleet = self.current_fleet_load(now, admission);
+        if self.streams_at_limit(now, &fleet, admission) {
+            return Err(HeldBack::FleetLimit);
+        }
+        Ok(fleet)
+    }
+
+    /// The members that may get the request, and their probabilities.
+    pub(super) fn rank(
+        &mut self,
+        now: Instant,
+        fleet: &FleetLoad,
+        demand: &Demand<'_>,
+        avoidance: &Avoidance,
+    ) -> Ranking {
         self.scan_offset = self.scan_offset.wrapping_add(1);
         let keys: SmallVec<[MemberKey; 32]> = self.members.keys().copied().collect();
         let start = self.scan_offset as usize;
-        let avoidance = self.avoidance(now, tried);
-        let mut candidates: SmallVec<[(MemberKey, f64, f64); 32]> = SmallVec::new();
-        let mut fallback: SmallVec<[(MemberKey, f64, f64); 32]> = SmallVec::new();
+        let mut candidates: SmallVec<[Candidate; 32]> = SmallVec::new();
+        let mut fallback: SmallVec<[Candidate; 32]> = SmallVec::new();
         let mut probe = None;
         for i in 0..keys.len() {
             // The rotating start distributes ties evenly.
             let key = keys[(start + i) % keys.len()];
-            let Some(m) = self.members.get(&key) else { continue };
-            let eligible = m.is_available(now) && self.in_service(m) && !tried.contains(&key);
-            let has_room = m.load(now) < m.registration.heartbeat.slots.max(1)
-                && m.in_flight < self.connection_share(m)
-                && !m.has_refused(now)
-                && self.fits_kv(now, m, kv_tokens);
-            if !eligible || !has_room || (split && !self.groups.accepts(m.group())) {
-                continue;
-            }
-            let preference = avoidance.preference(now, m);
-            if preference == Preference::Avoid {
+            if self.obstacle(now, key, demand, avoidance).is_some() {
                 continue;
             }
-            let group_factor = if split { self.groups.load_factor(m.group()) } else { 1.0 };
-            let score = self.score(now, m, prompt_tokens) * group_factor;
+            let Some(m) = self.members.get(&key) else { continue };
+            let score = self.ranking_score(now, m, demand.prompt_tokens);
             let age_s = m.report_age(now).map_or(fleet.age_s, |age| age.as_secs_f64());
-            let cold_share = if m.is_rate_limited(now) { self.cold_share(m) } else { u32::MAX };
-            if self.members.get_mut(&key).is_some_and(|m| m.cold_limit_allows(now, cold_share)) {
-                match preference {
-                    Preference::Probe => probe = probe.or(Some(key)),
-                    Preference::Fallback => fallback.push((key, score, age_s)),
-                    _ => candidates.push((key, score, age_s)),
-                }
+            let (saved_tokens, saved, wait_s) = (0, Duration::ZERO, 0.0);
+            let candidate = Candidate { key, score, age_s, saved_tokens, saved, wait_s };
+            match avoidance.preference(now, m) {
+                Preference::Probe => probe = probe.or(Some(candidate)),
+                Preference::Fallback => fallback.push(candidate),
+                Preference::Normal | Preference::Avoid => candidates.push(candidate),
             }
         }
-        if let Some(key) = probe {
-            self.record_probe(now, key);
-            return Some(key);
+        if let Some(probe) = probe {
+            let (candidates, weights) = (smallvec![probe], smallvec![1.0]);
+            return Ranking { candidates, weights, is_probe: true };
         }
         if candidates.is_empty() {
             candidates = fallback;
         }
         if self.limiter.is_none() {
-            let cheapest = candidates.iter().min_by(|a, b| a.1.total_cmp(&b.1));
-            return cheapest.map(|(key, ..)| *key);
-        }
-        let loads: SmallVec<[f64; 32]> = candidates.iter().map(|(_, load, _)| *load).collect();
-        // The other gateways have filled an endpoint for as long as it was not observed.
-        let unfilled: SmallVec<[f64; 32]> =
-            candidates.iter().map(|(.., age_s)| (-age_s / fleet.age_s.max(1e-3)).exp()).collect();
-        let arrivals = self.completion_rate(&fleet) * fleet.age_s;
-        let index = draw_water_filling(&loads, &unfilled, arrivals, &mut self.rng)?;
-        let index = self.prefer_connected(&candidates, index);
-        Some(candidates[index].0)
+            let by_score =
+                |a: &usize, b: &usize| candidates[*a].score.total_cmp(&candidates[*b].score);
+            let cheapest = (0..candidates.len()).min_by(by_score);
+            let weights =
+                (0..candidates.len()).map(|i| f64::from(u8::from(cheapest == Some(i)))).collect();
+            return Ranking { candidates, weights, is_probe: false };
+        }
+        let arrivals = self.completion_rate(fleet) * fleet.age_s;
+        let mut weights = fill_weights(&candidates, fleet, arrivals);
+        if self.retention.is_some() {
+            self.keep_retaining(now, &mut candidates, &weights, demand.parts);
+            weights = fill_weights(&candidates, fleet, arrivals);
+        }
+        Ranking { candidates, weights, is_probe: false }
+    }
+
+    /// Why a member does not get a request now, if it does not. The states of several groups are those of
+    /// the last scan.
+    pub(super) fn obstacle(
+        &mut self,
+        now: Instant,
+        key: MemberKey,
+        demand: &Demand<'_>,
+        avoidance: &Avoidance,
+    ) -> Option<Obstacle> {
+        let m = self.members.get(&key)?;
+        if let Some(obstacle) = m.unavailability(now) {
+            return Some(obstacle);
+        }
+        if !self.in_service(m) {
+            return Some(Obstacle::OutOfService);
+        }
+        if demand.tried.contains(&key) {
+            return Some(Obstacle::Tried);
+        }
+        if m.load(now) >= m.registration.heartbeat.slots.max(1) {
+            return Some(Obstacle::Full);
+        }
+        if m.in_flight >= self.connection_share(m) {
+            return Some(Obstacle::NoConnection);
+        }
+        if m.has_refused(now) {
+            return Some(Obstacle::Refused);
+        }
+        if !self.fits_kv(now, m, demand.kv_tokens) {
+            return Some(Obstacle::KvMemory);
+        }
+        if self.has_groups() && !self.groups.accepts(m.group()) {
+            return Some(match self.groups.state(m.group()) {
+                Some(GroupState::Full) => Obstacle::GroupLimit,
+                Some(GroupState::Silent) => Obstacle::GroupSilent,
+                _ => Obstacle::GroupClosed,
+            });
+        }
+        if avoidance.preference(now, m) == Preference::Avoid {
+            return Some(Obstacle::SuspectDomain);
+        }
+        let cold_share = if m.is_rate_limited(now) { self.cold_share(m) } else { u32::MAX };
+        let allowed = self.members.get_mut(&key)?.cold_limit_allows(now, cold_share);
+        (!allowed).then_some(Obstacle::ColdLimit)
+    }
+
+    /// Probability with which each candidate gets the request.
+    pub(super) fn chances(&self, ranking: &Ranking) -> SmallVec<[f64; 32]> {
+        let total: f64 = ranking.weights.iter().sum();
+        let mut chances: SmallVec<[f64; 32]> = smallvec![0.0; ranking.candidates.len()];
+        for (i, weight) in ranking.weights.iter().enumerate() {
+            let drawn = weight / total.max(f64::MIN_POSITIVE);
+            let connected = if self.limiter.is_none() || ranking.is_probe {
+                SmallVec::new()
+            } else {
+                self.connected_instead(&ranking.candidates, i)
+            };
+            if connected.is_empty() {
+                chances[i] += drawn;
+            }
+            for c in &connected {
+                chances[*c] += drawn / connected.len() as f64;
+            }
+        }
+        chances
+    }
+
+    /// Estimated cost of one more request at a member, for comparison with members of other groups.
+    pub(super) fn ranking_score(&self, now: Instant, m: &Member, prompt_tokens: u32) -> f64 {
+        let factor = if self.has_groups() { self.groups.load_factor(m.group()) } else { 1.0 };
+        self.score(now, m, prompt_tokens) * factor
     }
 
     /// Sums up the loads of the groups and decides which of them get requests.
--- a/crates/core/src/dispatch/queue.rs
+++ b/crates/core/src/dispatch/queue.rs
@@ -8,6 +8,7 @@
 use super::AdmissionClass;
 use super::EarlierSends;
 use super::MemberKey;
+use super::SizedPart;
 
 /// Identifies a queued request of one pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -26,6 +27,7 @@
     pub(super) workspace_admitted: f64,
     pub(super) prompt_tokens: u32,
     pub(super) kv_tokens: u32,
+    pub(super) parts: SmallVec<[SizedPart; 4]>,
     pub(super) retry_after: Duration,
     /// Longest time after which the caller comes back once it is refused.
     pub(super) return_time_max: Duration,
--- a/crates/core/tests/shared_limits.rs
+++ b/crates/core/tests/shared_limits.rs
@@ -70,6 +70,7 @@
                 workspace: 0,
                 prompt_tokens: 0,
                 max_response_tokens: 0,
+                parts: Default::default(),
                 queue_deadline: now,
                 late_deadline: now + 150 * MS,
                 return_time_max: 2500 * MS,
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -44,7 +44,7 @@
 /// Divisor of the caller's timeout; the quotient also bounds the wait for the first policy.
 const POLICY_WAIT_DIVISOR: u32 = 4;
 /// `Retry-After` of a request that was rejected since the gateway has no policy yet.
-const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(1000);
+pub(crate) const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(1000);
 /// `Retry-After` of a request that a stopping gateway has not run. Its caller's next connection goes to
 /// another gateway.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
@@ -102,9 +102,9 @@
 type Rejection = Box<Response<ResponseBody>>;
 
 /// Route and workspace of an authorized request; the workspace comes with its priority.
-struct Authorized {
-    route: Route,
-    workspace: Option<(String, Option<u8>)>,
+pub(crate) struct Authorized {
+    pub(crate) route: Route,
+    pub(crate) workspace: Option<(String, Option<u8>)>,
 }
 
 async fn admit(
@@ -204,7 +204,12 @@
     })
 }
 
-fn authorize(policy: &TrafficPolicy, meta: &RequestHead, path: &str) -> Result<Authorized, Code> {
+/// Looks up the route and the workspace of a request.
+pub(crate) fn authorize(
+    policy: &TrafficPolicy,
+    meta: &RequestHead,
+    path: &str,
+) -> Result<Authorized, Code> {
     let route = policy.route(&meta.host, path).ok_or(Code::UnknownService)?.clone();
     let workspace = meta.api_key.as_deref().and_then(|key| policy.workspace(key));
     if workspace.is_none() && policy.has_workspaces() && !route.public {
@@ -215,7 +220,7 @@
 }
 
 /// Number that stands for a workspace in the queue.
-fn workspace_key(name: &str) -> u64 {
+pub(crate) fn workspace_key(name: &str) -> u64 {
     Digest::of(&[name.as_bytes()]).to_u64()
 }
 
