Fleet: a relay is silent only once it accepts no more connections

Cause: set_silent filled the queue of new connections and took one time-out for a full queue, while the relay's own task could still take one connection from it, so the next caller was accepted. Change: the relay says when it has stopped accepting, and the queue is filled until then.

--- a/crates/fleet/src/tcp_relay.rs
+++ b/crates/fleet/src/tcp_relay.rs
@@ -53,6 +53,8 @@
     connections: Arc<Mutex<Vec<Arc<Faults>>>>,
     listener: TcpListener,
     silent: Arc<AtomicBool>,
+    /// Whether the relay has stopped accepting since it became silent.
+    accepts_none: Arc<AtomicBool>,
     /// Connections that keep the queue of a silent relay full.
     held: Arc<Mutex<Vec<TcpStream>>>,
 }
@@ -188,6 +190,7 @@
             connections,
             listener: listener.clone(),
             silent: Arc::default(),
+            accepts_none: Arc::default(),
             held: Arc::default(),
         };
         let (this, runtime) = (relay.clone(), rt.clone());
@@ -195,9 +198,11 @@
             while let Ok((client, from)) = listener.accept().await {
                 if this.silent.load(Ordering::Acquire) {
                     this.lock_held().push(client);
+                    this.accepts_none.store(true, Ordering::Release);
                     while this.silent.load(Ordering::Acquire) {
                         sleep(POLL_INTERVAL).await;
                     }
+                    this.accepts_none.store(false, Ordering::Release);
                     continue;
                 }
                 let faults = Arc::new(Faults::default());
@@ -238,15 +243,21 @@
         self.silent.store(silent, Ordering::Release);
         listen(&self.listener, if silent { 0 } else { BACKLOG })?;
         if !silent {
+            self.accepts_none.store(false, Ordering::Release);
             self.lock_held().clear();
             return Ok(());
         }
         self.stall_existing(true, true);
-        // The kernel drops what opens connections to a queue that is full.
-        while let Some(connected) = timeout(HANGING, TcpStream::connect(self.address)).await {
-            self.lock_held().push(connected?);
+        // The kernel drops what opens connections to a queue that is full. It is full for good only once
+        // the relay accepts none any more: until then it makes room for one.
+        loop {
+            let connected = timeout(HANGING, TcpStream::connect(self.address)).await;
+            match connected {
+                Some(connected) => self.lock_held().push(connected?),
+                None if self.accepts_none.load(Ordering::Acquire) => return Ok(()),
+                None => {}
+            }
         }
-        Ok(())
     }
 
     /// Delays all bytes in both directions. Zero removes the delay.
