Gateway: groups are told apart only where settings ask for limits of single groups

Change: group_limit_share_min, 1 by default, at which one limit holds for all endpoints of a service as before.

--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -63,7 +63,7 @@
     /// Admission by urgency, in which late requests wait behind those on time. It is in force if requests are not
     /// all equally urgent, or if the engines form several groups; `None` without model engines.
     pub admission: Option<AdmissionSettings>,
-    /// Figures from which limits of single groups are derived; `None` without model engines.
+    /// Figures from which limits of single groups are derived; `None` if one limit holds for all endpoints.
     pub pass_model: Option<PassModel>,
     /// Retry budget: retries allowed per first attempt.
     pub retry_ratio: f64,
@@ -436,7 +436,7 @@
 
     /// Whether the service has several groups with limits of their own.
     pub fn has_groups(&self) -> bool {
-        self.limiter.is_some() && self.groups.is_split()
+        self.limiter.is_some() && self.cfg.pass_model.is_some() && self.groups.is_split()
     }
 
     /// What is known about each group; empty if there are not several.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -388,7 +388,9 @@
             ),
             ..LimiterSettings::default()
         });
-        let pass_model = service.engine.as_ref().map(|e| PassModel {
+        // Limits of single groups are in force only where the settings let observed passes lower them.
+        let by_group = self.cfg.group_limit_share_min < 1.0;
+        let pass_model = service.engine.as_ref().filter(|_| by_group).map(|e| PassModel {
             engine: e.clone(),
             prompt_tokens: PREFILLS_PER_PASS * f64::from(e.mean_prompt_tokens),
             gap_max: gap,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -82,7 +82,7 @@
     #[serde(default = "default_pass_bound")]
     pub pass_bound_share: f64,
     /// Smallest limit on the streams of one of several groups that observed passes may lead to, as a share
-    /// of the limit that the published figures give; 1 if observed passes never lower it.
+    /// of the limit that the published figures give; at 1, one limit holds for all endpoints of a service.
     #[serde(default = "default_group_limit_share_min")]
     pub group_limit_share_min: f64,
     /// How endpoints retain prompts; absent if they keep none after a request.
