--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -411,6 +411,13 @@
         urgencies > 1 || (urgencies > 0 && self.has_groups())
     }
 
+    /// Rank of an urgency among those of the service, 0 for the most urgent; `None` if the service does not
+    /// admit by urgency.
+    pub fn urgency_rank(&self, urgency: u8) -> Option<u8> {
+        let admission = self.admission.as_ref().filter(|_| self.admits_by_urgency())?;
+        Some(admission.class(urgency, false).rank)
+    }
+
     /// Requests of this gateway in flight.
     pub fn in_flight(&self) -> u32 {
         self.in_flight
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -55,6 +55,8 @@
     pub workspace: Option<&'a str>,
     /// How long the gateway waits for the response.
     pub timeout: Duration,
+    /// Rank of the request's urgency, 0 for the most urgent; `None` if endpoints are not told.
+    pub urgency_rank: Option<u8>,
     /// Last event that the endpoint need not send again.
     pub last_event_id: Option<u64>,
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -132,8 +132,8 @@
     pub(crate) workspace: Option<String>,
     /// Number that stands for the workspace in the queue; 0 without one.
     pub(crate) workspace_key: u64,
-    /// Whether the service admits its requests by urgency.
-    pub(crate) admits_by_urgency: bool,
+    /// Rank of the urgency, if the service admits its requests by urgency.
+    pub(crate) urgency_rank: Option<u8>,
     pub(crate) priority: u8,
     /// Digest of the parts that are equal when the caller repeats the request: path, key and body.
     pub(crate) digest: Digest,
@@ -196,7 +196,7 @@
     fn queue_deadline(&self) -> Instant {
         queue_deadline(
             &self.route,
-            self.admits_by_urgency,
+            self.urgency_rank.is_some(),
             self.elapsed_before(),
             self.arrived,
             self.now(),
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -180,7 +180,7 @@
             framing: None,
             complete: false,
         },
-        admits_by_urgency: slot_pool.with_pool(|pool| pool.admits_by_urgency()),
+        urgency_rank: slot_pool.with_pool(|p| p.urgency_rank(urgency(priority, route.priority))),
         workspace_key: workspace.as_ref().map_or(0, |(name, _)| workspace_key(name)),
         priority: urgency(priority, route.priority),
         workspace: workspace.map(|(name, _)| name),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -358,13 +358,14 @@
         let Some(policy) = self.policy() else { return };
         for service in policy.services() {
             let cfg = self.pool_settings(&policy, service);
+            let is_new = self.existing_pool(&service.name).is_none();
             let urgencies = cfg.admission.as_ref().map(|a| format!("{:?}", a.urgencies));
             let changed = self.pool(&service.name).with_pool(|pool| pool.configure(cfg));
-            if changed {
+            if urgencies.is_some() && (changed || is_new) {
                 log::info!(
                     service = service.name.as_str(), version = policy.version(),
                     urgencies = urgencies.as_deref();
-                    "admission by urgency configured"
+                    "urgencies of requests configured"
                 );
             }
         }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -103,6 +103,7 @@
         endpoint: &slot.endpoint,
         workspace: ex.workspace.as_deref(),
         timeout: ex.remaining(),
+        urgency_rank: ex.urgency_rank,
         last_event_id,
     };
     let mut req = Request::new(Full::new(ex.body.clone()));
