Net: a refused body is read on for 4 MiB at most

Change: the bytes dropped are bounded by the longest body that policies allow. Result: the test passes; it failed before.

--- a/crates/net/src/http_server.rs
+++ b/crates/net/src/http_server.rs
@@ -65,6 +65,9 @@
 /// Time for which the rest of a refused body is read and dropped. Closing a connection with unread data resets it,
 /// and the client may lose the refusal.
 const LINGER_TIME: Duration = Duration::from_millis(250);
+/// Most bytes that are dropped in that time: the longest body that policies allow. A body without end would
+/// otherwise go on as fast as the link carries it.
+const LINGER_BYTES_MAX: usize = 4 * 1024 * 1024;
 
 /// Limits on requests, and the behaviour of a server at errors and shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -238,7 +241,13 @@
     let _ = stream.shutdown(std::net::Shutdown::Write);
     let drain = async {
         let mut buf = [0; 8 * 1024];
-        while stream.read(&mut buf).await.is_ok_and(|n| n > 0) {}
+        let mut dropped = 0;
+        while dropped < LINGER_BYTES_MAX {
+            match stream.read(&mut buf).await {
+                Ok(n) if n > 0 => dropped += n,
+                _ => break,
+            }
+        }
     };
     let _ = crate::timeout(LINGER_TIME, drain).await;
 }
