--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -244,6 +244,9 @@
         except CannotRun as e:
             print("cannot run:", e)
             code = 2
+        except Exception as e:  # A fault of the case itself must not look like a broken rule.
+            print("cannot run:", type(e).__name__, e)
+            code = 2
         sys.stdout.flush()
         os._exit(code)
 
