Shutdown: stages, so that a process exits only when nothing can come any more

Cause: Shutdown counted requests and connections, but not the listeners that add to them. Zero of both was taken for "nothing can come any more"; the process then flushed its log (up to 200 ms) and exited, while the listener accepted for its drain delay of 2.5 s.

Ruled out: a listener that ignores the drain delay (stop::server_accepts_no_connections_after_drain_delay holds); the signal's default action (exit status 0, "stopped" logged).

Change: three stages (callers, peers, observers); each begins when all listeners and connections of those before it are closed. Listeners are counted until their last accept, connections from the accept on. Same cause on related paths: the gRPC listener, first requests and heads that come as the listener closes, the replica of a stopping control instance, attempts at an agent, orders of a rank agent, admin server and readiness checks, a second SIGTERM, a process without free descriptors. New log line "listener closed", duration in "stopped".

Why it works: once a stage's listeners are closed its counters only fall, so their zero is final.

--- a/crates/agent/src/service.rs
+++ b/crates/agent/src/service.rs
@@ -131,9 +131,10 @@
         let req = req.into_inner();
         let (tx, rx) = async_channel::bounded(PIECES_BUFFERED_MAX);
         metrics::counter!("crocustally_agent_requests_total").increment(1);
+        // Counted before the shutdown is looked at: an attempt that is admitted holds up its next stage.
+        let request_guard = self.agent.shutdown.track_request();
         match self.admit(&req) {
             Ok(attempt_id) => {
-                let request_guard = self.agent.shutdown.track_request();
                 let run = EngineRun::new(self.agent.clone(), req, attempt_id, tx);
                 self.agent.rt.spawn(async move {
                     run.run().await;
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -50,6 +50,7 @@
 use crocustally_wire::control_server::ControlServer;
 use crocustally_wire::outcome::Kind as OutcomeKind;
 use crocustally_wire::replica_server::ReplicaServer;
+use futures_lite::future;
 
 use crate::ControlDialect;
 use crate::ControlSettings;
@@ -64,6 +65,9 @@
 
 /// Time for the lift of a refusal to be committed, after which the operator tries another instance.
 const LIFT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Longest time for which a stopping instance keeps its replica for calls in progress. Until then it may
+/// lead, and an election follows.
+const LOG_STOP_DELAY_MAX: Duration = Duration::from_millis(1000);
 /// Interval between batched updates to subscribers. Gateways route by the load of ranks, so it has
 /// to stay short.
 const FLUSH_PERIOD: Duration = Duration::from_millis(100);
@@ -140,7 +144,9 @@
         rt.spawn(async move { reports.commit_crash_reports().await });
         let stopping = (control.clone(), shutdown.clone());
         rt.spawn(async move {
-            stopping.1.wait().await;
+            // Calls that were accepted may still have to be committed.
+            let served = stopping.1.stage_ended();
+            future::or(served, stopping.1.wait_elapsed(LOG_STOP_DELAY_MAX)).await;
             stopping.0.log.stop();
         });
         let replica = ReplicaServer::new(ReplicaService::new(control.log.clone()))
--- a/crates/daemons/src/daemon.rs
+++ b/crates/daemons/src/daemon.rs
@@ -16,6 +16,7 @@
 use crocustally_net::Runtime;
 use crocustally_net::SettingsError;
 use crocustally_net::Shutdown;
+use crocustally_net::ShutdownStage;
 use crocustally_net::Signals;
 use crocustally_net::abort_on_panic;
 use crocustally_net::init_logs;
@@ -25,6 +26,8 @@
 use crocustally_net::timeout;
 use serde::de::DeserializeOwned;
 
+/// Time for the last responses to operators and monitoring, after all others are served.
+const OBSERVERS_TIME: Duration = Duration::from_millis(500);
 /// Exit code for invalid settings.
 const EXIT_INVALID_SETTINGS: u8 = 2;
 
@@ -133,16 +136,19 @@
     };
     start(cx, cfg).await?;
     if let Some((address, token)) = common.admin.clone() {
-        // A shutdown of its own, never requested, keeps the admin server available during the
-        // shutdown.
-        serve_admin(rt, address, token, state, &Shutdown::default()).await?;
+        serve_admin(rt, address, token, state, &shutdown).await?;
     }
     let (name, version) = (common.name.as_str(), env!("CARGO_PKG_VERSION"));
     log::info!(name = name, version = version, pid = std::process::id(); "started");
     shutdown.wait().await;
     log::info!(name = name, requests = shutdown.request_count(); "stopping");
-    shutdown.connections_closed().await;
-    log::info!(name = name; "stopped");
+    shutdown.in_stage(ShutdownStage::Peers).stage_ended().await;
+    let observers = shutdown.in_stage(ShutdownStage::Observers);
+    if timeout(OBSERVERS_TIME, observers.stage_ended()).await.is_none() {
+        log::warn!(name = name; "connections of operators or monitoring are still open");
+    }
+    let ms = shutdown.elapsed().unwrap_or_default().as_millis() as u64;
+    log::info!(name = name, ms = ms; "stopped");
     log::logger().flush();
     Ok(())
 }
--- a/crates/daemons/tests/soak/deployment.rs
+++ b/crates/daemons/tests/soak/deployment.rs
@@ -17,6 +17,7 @@
 use rustix::process::Resource;
 use rustix::process::Rlimit;
 use rustix::process::Signal;
+use rustix::process::getrlimit;
 use rustix::process::kill_process;
 use rustix::process::prlimit;
 use serde_json::Value;
@@ -284,6 +285,15 @@
         std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count)
     }
 
+    /// Makes a process open no more descriptors.
+    pub fn set_descriptors_full(&self, i: usize) {
+        let pid = self.processes[i].child.as_ref().and_then(|c| Pid::from_raw(c.id() as i32));
+        let limit = Rlimit { current: Some(0), ..getrlimit(Resource::Nofile) };
+        if let Some(pid) = pid {
+            prlimit(Some(pid), Resource::Nofile, limit).unwrap();
+        }
+    }
+
     /// Makes the files of a process take no more bytes, its log included, or take them again.
     pub fn set_disk_full(&self, i: usize, full: bool) {
         let pid = self.processes[i].child.as_ref().and_then(|c| Pid::from_raw(c.id() as i32));
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -54,7 +54,7 @@
     entry.rt.spawn(replicate_local_out(entry.clone()));
     let stopping = entry.clone();
     entry.rt.spawn(async move {
-        stopping.shutdown.drained().await;
+        stopping.shutdown.stage_ended().await;
         stopping.log.stop();
     });
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -36,6 +36,7 @@
 use crocustally_net::HttpLimits;
 use crocustally_net::Runtime;
 use crocustally_net::Shutdown;
+use crocustally_net::ShutdownStage;
 use crocustally_net::client_connections_max;
 use crocustally_net::descriptor_limit;
 use crocustally_net::serve_http;
@@ -221,9 +222,9 @@
                 let shared = gateway.clone();
                 let handler = move |req| frontend::handle_readiness(shared.clone(), req);
                 let limits = HttpLimits { connections_max: READY_CONNECTIONS_MAX, ..limits };
-                // Not subject to the shutdown, so that checks see "not ready" until the process
-                // ends.
-                Some(serve_http(rt, address, limits, &Shutdown::default(), handler).await?)
+                // Checks see "not ready" until all callers are served.
+                let observers = shutdown.in_stage(ShutdownStage::Observers);
+                Some(serve_http(rt, address, limits, &observers, handler).await?)
             }
         };
         Ok((gateway, GatewayAddresses { callers, ready }))
--- a/crates/net/src/admin.rs
+++ b/crates/net/src/admin.rs
@@ -21,6 +21,7 @@
 use crate::Runtime;
 use crate::SettingsError;
 use crate::Shutdown;
+use crate::ShutdownStage;
 use crate::full_body;
 use crate::metrics_handle;
 use crate::parse_address;
@@ -107,7 +108,8 @@
 /// Connections of operators and monitoring at a time; they count among the descriptors that a process keeps free.
 const CONNECTIONS_MAX: usize = 8;
 
-/// Starts the admin server and returns the bound address.
+/// Starts the admin server and returns the bound address. It is available until all callers and peers
+/// are served.
 ///
 /// # Errors
 ///
@@ -125,7 +127,7 @@
         async move { response }
     };
     let limits = HttpLimits { connections_max: CONNECTIONS_MAX, ..HttpLimits::default() };
-    serve_http(rt, address, limits, shutdown, handler).await
+    serve_http(rt, address, limits, &shutdown.in_stage(ShutdownStage::Observers), handler).await
 }
 
 fn respond(
--- a/crates/net/src/client_connections.rs
+++ b/crates/net/src/client_connections.rs
@@ -106,6 +106,8 @@
     body_done: bool,
     /// Whether the response was decided before the request's body had ended.
     body_unread: bool,
+    /// Whether a request's head has been read on this connection.
+    has_requested: bool,
     closing: bool,
 }
 
@@ -133,6 +135,17 @@
 
     pub(crate) fn begin_request(&self) {
         self.enter(Phase::Handling);
+        self.state().has_requested = true;
+    }
+
+    /// Whether the client is sending the head of a request, or has connected within `time` and sent nothing yet.
+    pub(crate) fn expects_request(&self, time: Duration) -> bool {
+        let state = self.state();
+        match state.phase {
+            Phase::Head => true,
+            Phase::Idle => !state.has_requested && state.since.elapsed() < time,
+            Phase::Body | Phase::Handling | Phase::Responding => false,
+        }
     }
 
     pub(crate) fn begin_response(&self) {
@@ -308,6 +321,7 @@
             blocked: None,
             body_done: false,
             body_unread: false,
+            has_requested: false,
             closing: false,
         };
         let conn = Arc::new(ClientConnection {
@@ -321,9 +335,14 @@
         OpenConnection { connections: self.clone(), id, conn }
     }
 
+    /// Number of open connections.
+    pub(crate) fn len(&self) -> usize {
+        self.open().len()
+    }
+
     /// Whether there is a place for one more connection.
     pub(crate) fn has_room(&self) -> bool {
-        self.open().len() < self.max
+        self.len() < self.max
     }
 
     /// Closes the connection that has made no progress for longest, unless enough are being closed.
--- a/crates/net/src/grpc_server.rs
+++ b/crates/net/src/grpc_server.rs
@@ -24,6 +24,7 @@
 use crate::BufferBudget;
 use crate::Runtime;
 use crate::Shutdown;
+use crate::ShutdownStage;
 use crate::metered_body::GuardedBody;
 use crate::metered_body::MeteredBody;
 use crate::peer_connections::PeerConnection;
@@ -97,8 +98,8 @@
 
 /// Starts serving `service` within `limits` and returns the bound address.
 ///
-/// It keeps accepting connections during a shutdown until the last request has completed, so that
-/// peers can query the outcome of their attempts.
+/// It keeps accepting connections during a shutdown until [`ShutdownStage::Peers`] begins, so that peers
+/// can query the outcome of their attempts.
 ///
 /// # Errors
 ///
@@ -118,16 +119,17 @@
 {
     let listener = TcpListener::bind(address).await?;
     let bound = listener.local_addr()?;
-    let (runtime, shutdown) = (rt.clone(), shutdown.clone());
+    let (runtime, shutdown) = (rt.clone(), shutdown.in_stage(ShutdownStage::Peers));
+    let listener_guard = shutdown.track_listener();
     let connections = PeerConnections::new(limits.connections);
     rt.spawn(async move {
         loop {
-            let drained = async {
-                shutdown.drained().await;
+            let closing = async {
+                shutdown.stage_begins().await;
                 None
             };
             let accepted = async { Some(listener.accept().await) };
-            match accepted.or(drained).await {
+            match accepted.or(closing).await {
                 Some(Ok((stream, from))) => {
                     let Some(conn) = connections.add() else {
                         let from = from.ip().to_string();
@@ -135,21 +137,30 @@
                         metrics::counter!("crocustally_peer_connections_refused").increment(1);
                         continue;
                     };
-                    runtime.spawn(serve_connection(
+                    let guard = shutdown.track_connection();
+                    let serving = serve_connection(
                         runtime.clone(),
                         stream,
                         Arc::new(conn),
                         limits.budget.clone(),
                         service.clone(),
                         shutdown.clone(),
-                    ));
+                    );
+                    runtime.spawn(async move {
+                        serving.await;
+                        drop(guard);
+                    });
                     // New connections may be evicted soon, so their first calls are read before that.
                     futures_lite::future::yield_now().await;
                 }
+                // Without a free descriptor, the connections in the queue are not waited for.
+                Some(Err(_)) if shutdown.stage_has_begun() => break,
                 Some(Err(_)) => crate::sleep(Duration::from_millis(10)).await,
-                None => return,
+                None => break,
             }
         }
+        drop(listener);
+        drop(listener_guard);
     });
     Ok(bound)
 }
@@ -188,9 +199,8 @@
         .initial_connection_window_size(CONNECTION_WINDOW)
         .max_concurrent_streams(STREAMS_MAX);
     let mut serving = std::pin::pin!(builder.serve_connection(FuturesIo::new(stream), call));
-    let guard = shutdown.track_connection();
     let drained = async {
-        shutdown.drained().await;
+        shutdown.stage_begins().await;
         End::Drained
     };
     // The error of a broken connection is ignored: the client reconnects if it needs to.
@@ -225,14 +235,13 @@
             }
         }
     }
-    drop(guard);
 }
 
 /// Why a connection is no longer served.
 enum End {
     /// The client closed it, or it broke.
     Closed,
-    /// The process has completed its last request.
+    /// The process has served its last caller.
     Drained,
     /// It had no open call and gave way to another one, or never made a call.
     Evicted,
--- a/crates/net/src/http_server.rs
+++ b/crates/net/src/http_server.rs
@@ -60,6 +60,14 @@
 const SWEEPS_PER_LOG_LINE: u32 = 8;
 /// Pause before the next look for a free place while all connections wait for their responses.
 const ROOM_INTERVAL: Duration = Duration::from_millis(10);
+/// Time for which a closing server waits for the first request of a connection, whose client may have
+/// connected just before the listener was closed.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
+/// Time for which a closing server goes on accepting the connections that wait in its listener's queue while
+/// it has no free descriptor.
+const LAST_ACCEPT_TIME: Duration = Duration::from_millis(500);
+/// Interval at which a closing server looks whether a connection is between two requests.
+const CLOSING_INTERVAL: Duration = Duration::from_millis(10);
 /// Time for a refusal to a client whose body has not ended, before its connection is closed.
 const REFUSAL_TIME: Duration = Duration::from_millis(250);
 /// Time for which the rest of a refused body is read and dropped. Closing a connection with unread data resets it,
@@ -132,8 +140,9 @@
 
 /// Starts serving requests by `handler` and returns the bound address.
 ///
-/// At a shutdown, after [`HttpLimits::drain_delay`], no more connections are accepted, open
-/// requests are completed and idle connections closed.
+/// At a shutdown, once the stage of `shutdown` has begun and [`HttpLimits::drain_delay`] has passed,
+/// the listener is closed. Connections that it has accepted until then are served: open requests are
+/// completed, and idle connections closed.
 ///
 /// # Errors
 ///
@@ -174,42 +183,68 @@
     let listener = TcpListener::bind(address).await?;
     let bound = listener.local_addr()?;
     let (runtime, shutdown) = (rt.clone(), shutdown.clone());
+    let listener_guard = shutdown.track_listener();
     rt.spawn(sweep(Arc::downgrade(&conns)));
     rt.spawn(async move {
         loop {
-            let shutting_down = async {
-                shutdown.wait_elapsed(limits.drain_delay).await;
+            let closing = async {
+                closing(&shutdown, limits.drain_delay).await;
                 None
             };
-            let accepted = async { Some(accept(&listener, &conns).await) };
-            match accepted.or(shutting_down).await {
-                Some(Ok((stream, conn))) => {
+            // Connections that wait in the listener's queue are accepted before it is closed.
+            let accepted = async { Some(listener.accept().await) };
+            match accepted.or(closing).await {
+                Some(Ok((stream, peer))) => {
+                    wait_for_room(&conns).await;
+                    let conn = conns.insert(peer.ip());
+                    let guard = shutdown.track_connection();
                     let (shutdown, handler) = (shutdown.clone(), handler.clone());
-                    runtime.spawn(serve_connection(stream, conn, limits, shutdown, handler));
+                    runtime.spawn(async move {
+                        serve_connection(stream, conn, limits, shutdown, handler).await;
+                        drop(guard);
+                    });
                 }
                 Some(Err(_)) => {
                     // Without a free descriptor, one has to be made free.
                     conns.make_room();
+                    let due = limits.drain_delay + LAST_ACCEPT_TIME;
+                    if shutdown.stage_has_begun() && shutdown.elapsed().is_some_and(|t| t > due) {
+                        log::warn!("listener closed without a descriptor for its last connections");
+                        break;
+                    }
                     crate::sleep(ROOM_INTERVAL).await;
                 }
-                None => return,
+                None => break,
             }
         }
+        drop(listener);
+        let address = bound.to_string();
+        log::info!(address = address.as_str(), open = conns.len(); "listener closed");
+        drop(listener_guard);
     });
     Ok(bound)
 }
 
-/// Accepts a connection and waits until there is a place for it.
-async fn accept(
-    listener: &TcpListener,
-    conns: &Arc<ClientConnections>,
-) -> std::io::Result<(TcpStream, OpenConnection)> {
-    let (stream, peer) = listener.accept().await?;
+/// Completes when a server no longer accepts connections, and closes idle ones.
+async fn closing(shutdown: &Shutdown, drain_delay: Duration) {
+    shutdown.stage_begins().await;
+    shutdown.wait_elapsed(drain_delay).await;
+}
+
+/// Waits until there is a place for one more connection.
+async fn wait_for_room(conns: &ClientConnections) {
     while !conns.has_room() {
         conns.make_room();
         crate::sleep(ROOM_INTERVAL).await;
     }
-    Ok((stream, conns.insert(peer.ip())))
+}
+
+/// Completes when a connection of a closing server may be closed between two requests: its client has
+/// sent a first request or no part of one for [`FIRST_REQUEST_TIME`], and is not sending a head.
+async fn between_requests(conn: &ClientConnection) {
+    while conn.expects_request(FIRST_REQUEST_TIME) {
+        crate::sleep(CLOSING_INTERVAL).await;
+    }
 }
 
 /// Closes connections without progress until the server has ended.
@@ -266,7 +301,6 @@
     set_ack_timeout(&stream, CALLER_ACK_TIMEOUT);
     set_send_buffer(&stream, SEND_BUFFER);
     let mut raw = stream.clone();
-    let _guard = shutdown.track_connection();
     let (caller, conn) = (stream.clone(), open.conn.clone());
     let call = service_fn(move |mut req: Request<Incoming>| {
         // A body without a known length ends with its connection for these callers, so only a reset
@@ -293,11 +327,12 @@
         CodedIo::new(FuturesIo::new(ClientIo::new(stream, open.conn.clone())), limits.coded_errors);
     let mut serving = std::pin::pin!(builder.serve_connection(io, call));
     let served = async {
-        let shutting_down = async {
-            shutdown.wait_elapsed(limits.drain_delay).await;
+        let closing = async {
+            closing(&shutdown, limits.drain_delay).await;
+            between_requests(&open.conn).await;
             None
         };
-        let first = async { Some(serving.as_mut().await) }.or(shutting_down).await;
+        let first = async { Some(serving.as_mut().await) }.or(closing).await;
         match first {
             Some(result) => Some(result),
             None => {
--- a/crates/net/src/shutdown.rs
+++ b/crates/net/src/shutdown.rs
@@ -1,4 +1,4 @@
-//! [`Shutdown`]: a graceful shutdown, which waits for open requests and connections.
+//! [`Shutdown`]: a graceful shutdown in stages, which ends with the last response flushed.
 
 use std::sync::Arc;
 use std::sync::OnceLock;
@@ -11,18 +11,41 @@
 use async_channel::Receiver;
 use async_signal::Signal;
 use async_signal::Signals;
+use event_listener::Event;
 use futures_lite::StreamExt;
 
 use crate::Runtime;
 use crate::sleep;
 
-/// Interval at which a stopping process checks for open requests and connections.
-const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Who a server serves. A shutdown closes the servers of one stage after the other: each stage begins
+/// when all listeners and connections of the stages before it are closed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ShutdownStage {
+    /// Callers. Their stage also lasts until the last open request has completed.
+    #[default]
+    Callers,
+    /// Other processes of the deployment, which may ask for the outcome of the last requests.
+    Peers,
+    /// Operators and monitoring, which may watch the shutdown.
+    Observers,
+}
+
+impl ShutdownStage {
+    const ALL: [Self; 3] = [Self::Callers, Self::Peers, Self::Observers];
+
+    /// The stages that have to end before this one begins.
+    fn earlier(self) -> &'static [Self] {
+        &Self::ALL[..self as usize]
+    }
+}
 
 /// The shutdown state of a process, shared by everything that takes part in the shutdown.
+///
+/// A handle belongs to a stage, [`ShutdownStage::Callers`] at first.
 #[derive(Clone, Debug, Default)]
 pub struct Shutdown {
     inner: Arc<Inner>,
+    stage: ShutdownStage,
 }
 
 #[derive(Debug, Default)]
@@ -30,8 +53,37 @@
     requested: AtomicBool,
     requested_at: OnceLock<Instant>,
     requests: AtomicUsize,
+    servers: [ServerCounts; ShutdownStage::ALL.len()],
+    /// Notified when the shutdown is requested, and when a counter falls to zero after that.
+    changed: Event,
+}
+
+/// What the servers of one stage have open.
+#[derive(Debug, Default)]
+struct ServerCounts {
+    listeners: AtomicUsize,
     connections: AtomicUsize,
-    request_event: event_listener::Event,
+}
+
+impl Inner {
+    fn is_requested(&self) -> bool {
+        self.requested.load(Ordering::SeqCst)
+    }
+
+    /// Whether a stage has nothing open. The order of the checks matters: an open listener may add
+    /// connections, and an open connection may add requests, but not the other way round.
+    fn has_ended(&self, stage: ShutdownStage) -> bool {
+        let counts = &self.servers[stage as usize];
+        counts.listeners.load(Ordering::SeqCst) == 0
+            && counts.connections.load(Ordering::SeqCst) == 0
+            && (stage != ShutdownStage::Callers || self.requests.load(Ordering::SeqCst) == 0)
+    }
+
+    fn decrement(&self, counter: &AtomicUsize) {
+        if counter.fetch_sub(1, Ordering::SeqCst) == 1 && self.is_requested() {
+            self.changed.notify(usize::MAX);
+        }
+    }
 }
 
 /// Counts one open request; the process does not exit before it is dropped.
@@ -42,29 +94,42 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.inner.requests.fetch_sub(1, Ordering::AcqRel);
+        self.inner.decrement(&self.inner.requests);
+    }
+}
+
+/// Counts one open listener. A server drops it once it has accepted its last connection.
+#[derive(Debug)]
+pub struct ListenerGuard {
+    shutdown: Shutdown,
+}
+
+impl Drop for ListenerGuard {
+    fn drop(&mut self) {
+        self.shutdown.inner.decrement(&self.shutdown.counts().listeners);
     }
 }
 
 /// Counts one open connection; the process waits for its output to be flushed.
 #[derive(Debug)]
-pub(crate) struct ConnectionGuard {
-    inner: Arc<Inner>,
+pub struct ConnectionGuard {
+    shutdown: Shutdown,
 }
 
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
-        self.inner.connections.fetch_sub(1, Ordering::AcqRel);
+        self.shutdown.inner.decrement(&self.shutdown.counts().connections);
     }
 }
 
 impl Shutdown {
-    /// Requests the shutdown on the first of `signals`.
+    /// Requests the shutdown on the first of `signals`; later ones have no effect.
     pub fn on_signals(&self, rt: &Runtime, signals: Signals) {
         let (this, mut signals) = (self.clone(), signals);
         rt.spawn(async move {
-            signals.next().await;
-            this.request();
+            while signals.next().await.is_some() {
+                this.request();
+            }
         });
     }
 
@@ -105,27 +170,26 @@
         rx
     }
 
+    /// A handle to the same shutdown for servers of another stage.
+    pub fn in_stage(&self, stage: ShutdownStage) -> Self {
+        Self { inner: self.inner.clone(), stage }
+    }
+
     /// Requests the shutdown.
     pub fn request(&self) {
         self.inner.requested_at.get_or_init(Instant::now);
-        self.inner.requested.store(true, Ordering::Release);
-        self.inner.request_event.notify(usize::MAX);
+        self.inner.requested.store(true, Ordering::SeqCst);
+        self.inner.changed.notify(usize::MAX);
     }
 
     /// Whether the shutdown has been requested.
     pub fn is_requested(&self) -> bool {
-        self.inner.requested.load(Ordering::Acquire)
+        self.inner.is_requested()
     }
 
     /// Waits until the shutdown is requested.
     pub async fn wait(&self) {
-        while !self.is_requested() {
-            let listener = self.inner.request_event.listen();
-            if self.is_requested() {
-                return;
-            }
-            listener.await;
-        }
+        self.wait_until(|| self.is_requested()).await;
     }
 
     /// Time since the shutdown was requested, if it was.
@@ -137,41 +201,62 @@
     /// called.
     pub async fn wait_elapsed(&self, delay: Duration) {
         self.wait().await;
-        let elapsed = self.inner.requested_at.get().map_or(Duration::ZERO, Instant::elapsed);
-        sleep(delay.saturating_sub(elapsed)).await;
+        sleep(delay.saturating_sub(self.elapsed().unwrap_or_default())).await;
+    }
+
+    /// Whether the shutdown is requested and the stage of this handle has begun.
+    pub fn stage_has_begun(&self) -> bool {
+        let ended = |stage: &ShutdownStage| self.inner.has_ended(*stage);
+        self.is_requested() && self.stage.earlier().iter().all(ended)
+    }
+
+    /// Waits until the shutdown is requested and the stage of this handle begins.
+    pub async fn stage_begins(&self) {
+        self.wait_until(|| self.stage_has_begun()).await;
+    }
+
+    /// Waits until the shutdown is requested and nothing of the stage of this handle, or of those
+    /// before it, is open.
+    pub async fn stage_ended(&self) {
+        self.wait_until(|| self.stage_has_begun() && self.inner.has_ended(self.stage)).await;
     }
 
     /// Counts a request as open until the returned guard is dropped.
     pub fn track_request(&self) -> RequestGuard {
-        self.inner.requests.fetch_add(1, Ordering::AcqRel);
+        self.inner.requests.fetch_add(1, Ordering::SeqCst);
         RequestGuard { inner: self.inner.clone() }
     }
 
     /// Number of open requests.
     pub fn request_count(&self) -> usize {
-        self.inner.requests.load(Ordering::Acquire)
+        self.inner.requests.load(Ordering::SeqCst)
     }
 
-    /// Waits until the shutdown is requested and the last request has completed.
-    pub async fn drained(&self) {
-        self.wait().await;
-        while self.request_count() > 0 {
-            sleep(POLL_INTERVAL).await;
-        }
+    /// Counts a listener as open until the returned guard is dropped.
+    pub fn track_listener(&self) -> ListenerGuard {
+        self.counts().listeners.fetch_add(1, Ordering::SeqCst);
+        ListenerGuard { shutdown: self.clone() }
     }
 
-    /// Waits until the last request has completed and all connections are closed, so that every
-    /// response has been flushed.
-    pub async fn connections_closed(&self) {
-        self.drained().await;
-        while self.inner.connections.load(Ordering::Acquire) > 0 {
-            sleep(POLL_INTERVAL).await;
-        }
+    /// Counts a connection as open until the returned guard is dropped. To be called while the
+    /// listener that accepted it is still counted.
+    pub fn track_connection(&self) -> ConnectionGuard {
+        self.counts().connections.fetch_add(1, Ordering::SeqCst);
+        ConnectionGuard { shutdown: self.clone() }
     }
 
-    /// Counts a connection as open until the returned guard is dropped.
-    pub(crate) fn track_connection(&self) -> ConnectionGuard {
-        self.inner.connections.fetch_add(1, Ordering::AcqRel);
-        ConnectionGuard { inner: self.inner.clone() }
+    fn counts(&self) -> &ServerCounts {
+        &self.inner.servers[self.stage as usize]
+    }
+
+    /// Waits until `condition` holds, which requires the request of the shutdown.
+    async fn wait_until(&self, condition: impl Fn() -> bool) {
+        while !condition() {
+            let listener = self.inner.changed.listen();
+            if condition() {
+                return;
+            }
+            listener.await;
+        }
     }
 }
--- a/crates/rank/src/agent.rs
+++ b/crates/rank/src/agent.rs
@@ -181,6 +181,8 @@
                 }
                 continue;
             }
+            // Orders that were taken are carried out before the process exits.
+            let _orders_guard = shutdown.track_request();
             for order in orders {
                 if self.clock.now().saturating_duration_since(read_at) > REPORT_TIMEOUT {
                     log::warn!(number = order.number; "order expired");
