Policy: version 0 is a version, and its absence has an encoding of its own

Cause: "none yet" was encoded as version 0. The state machine began with a document of version 0, so the put was taken for a duplicate and not proposed.

Ruled out: a commit that readers do not see (the log has "policy version is already applied" and no new index).

Why it works: no comparison meets a number that stands for the absence of one.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -153,7 +153,7 @@
         };
         let version = policy.version();
         // Versions only increase, so a version that is already applied needs no replication.
-        if version <= self.state_machine().policy().version {
+        if self.state_machine().policy_version().is_some_and(|held| version <= held) {
             log::info!(version = version; "policy version is already applied");
             return ControlResponse::Acknowledged;
         }
@@ -178,17 +178,19 @@
         let arrived = self.clock.now();
         let outcome = self.log.propose(Kind::ReadPolicy(true), COMMIT_TIMEOUT).await;
         match outcome.map(|o| o.kind) {
-            Ok(Some(OutcomeKind::Policy(p))) if p.version == 0 => {
-                log::info!("read of the policy refused: there is none yet");
-                ControlResponse::Unavailable
-            }
-            Ok(Some(OutcomeKind::Policy(p))) => match self.policy_text(&p) {
-                Ok(text) => ControlResponse::Policy(text),
-                Err(e) => {
-                    log::error!(version = p.version; "policy document unusable: {e}");
-                    ControlResponse::Unavailable
+            Ok(Some(OutcomeKind::Policy(p))) => {
+                let Some(document) = p.into_present() else {
+                    log::info!("read of the policy refused: there is none yet");
+                    return ControlResponse::Unavailable;
+                };
+                match self.policy_text(&document) {
+                    Ok(text) => ControlResponse::Policy(text),
+                    Err(e) => {
+                        log::error!(version = document.version; "policy document unusable: {e}");
+                        ControlResponse::Unavailable
+                    }
                 }
-            },
+            }
             outcome => {
                 let waited = self.clock.now().saturating_duration_since(arrived);
                 let code = outcome.err().map(|code| code.number());
--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -54,10 +54,10 @@
         req: Request<FetchPolicyRequest>,
     ) -> Result<Response<PolicyDocument>, Status> {
         let FetchPolicyRequest { version, reads_compressed } = req.into_inner();
-        let policy = self.control.state_machine().policy().clone();
-        if policy.version < version {
+        let machine = self.control.state_machine();
+        let Some(policy) = machine.policy().filter(|p| p.version >= version).cloned() else {
             return Err(Status::not_found("this instance has no such version yet"));
-        }
+        };
         if reads_compressed || !policy.compressed {
             return Ok(Response::new(policy));
         }
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -253,7 +253,7 @@
         while let Ok(machine) = state_machines.recv().await {
             let before = self.state_machine();
             *self.state_machine.write().unwrap_or_else(PoisonError::into_inner) = machine.clone();
-            let unchanged = before.policy().version == machine.policy().version
+            let unchanged = before.policy_version() == machine.policy_version()
                 && before.evacuated() == machine.evacuated()
                 && before.gateways() == machine.gateways()
                 && before.crash_evidence() == machine.crash_evidence();
@@ -261,7 +261,7 @@
                 continue;
             }
             log::info!(
-                policy = machine.policy().version,
+                policy = machine.policy_version(),
                 applied = machine.last_applied(),
                 evacuated = format!("{:?}", machine.evacuated()).as_str(),
                 gateways = machine.gateways();
@@ -274,10 +274,7 @@
     }
 
     fn apply_policy(&self, machine: &StateMachine) {
-        let document = machine.policy();
-        if document.version == 0 {
-            return;
-        }
+        let Some(document) = machine.policy() else { return };
         let text = match document.text() {
             Ok(text) => text,
             Err(e) => {
@@ -404,7 +401,7 @@
             sleep(FLUSH_PERIOD).await;
             let now = self.clock.now();
             let addresses = self.log.addresses();
-            let version = self.state_machine().policy().version;
+            let version = self.state_machine().policy_version();
             let mut soft_state = self.soft_state();
             soft_state.flush(now, version);
             let gateways = soft_state.gateways();
--- a/crates/control/src/soft_state.rs
+++ b/crates/control/src/soft_state.rs
@@ -162,7 +162,7 @@
     }
 
     /// Expires old entries and broadcasts refreshed endpoints and the load of ranks as one batch.
-    pub(crate) fn flush(&mut self, now: Instant, policy_version: u64) {
+    pub(crate) fn flush(&mut self, now: Instant, policy_version: Option<u64>) {
         self.registry.expire(now);
         self.gateways.retain(|_, at| now.saturating_duration_since(*at) < EXPIRY_TIME);
         self.rank_loads.retain(|_, l| now.saturating_duration_since(l.at) < EXPIRY_TIME);
@@ -247,7 +247,7 @@
 pub(crate) fn replicated_part(machine: &crocustally_core::control::StateMachine) -> Update {
     Update {
         applied: machine.last_applied(),
-        policy_version: machine.policy().version,
+        policy_version: machine.policy_version(),
         gateways_expected: machine.gateways(),
         suspect_parts: Some(machine.crash_evidence().suspect_parts()),
         evacuations: Some(Evacuations { domains: machine.evacuated().iter().cloned().collect() }),
--- a/crates/core/src/control/state_machine.rs
+++ b/crates/core/src/control/state_machine.rs
@@ -40,7 +40,7 @@
     config: Arc<Config>,
     claims: Claims,
     suspects: Suspects,
-    policy: PolicyDocument,
+    policy: Option<PolicyDocument>,
     /// The most gateways that have ever followed the control instances at a time.
     gateways: u32,
     evacuated: BTreeSet<String>,
@@ -76,8 +76,10 @@
             Some(Kind::Policy(p)) => {
                 // Only a higher version replaces the document; duplicates and late ones are
                 // ignored.
-                if p.version > self.policy.version {
-                    self.policy = p;
+                if self.policy_version().is_none_or(|held| p.version > held)
+                    && let Some(p) = p.into_present()
+                {
+                    self.policy = Some(p);
                 }
                 OutcomeKind::Done(true)
             }
@@ -99,7 +101,7 @@
             Some(Kind::Trial(trial)) => {
                 OutcomeKind::Done(Arc::make_mut(&mut self.crash_evidence).grant_trial(&trial))
             }
-            Some(Kind::ReadPolicy(_)) => OutcomeKind::Policy(self.policy.clone()),
+            Some(Kind::ReadPolicy(_)) => self.policy_outcome(),
             None => OutcomeKind::Done(false),
         };
         Outcome { kind: Some(kind) }
@@ -111,9 +113,7 @@
             return None;
         }
         match Command::decode(command).ok()?.kind? {
-            Kind::ReadPolicy(_) => {
-                Some(Outcome { kind: Some(OutcomeKind::Policy(self.policy.clone())) })
-            }
+            Kind::ReadPolicy(_) => Some(Outcome { kind: Some(self.policy_outcome()) }),
             _ => None,
         }
     }
@@ -133,9 +133,14 @@
         &self.claims
     }
 
-    /// The policy document with the highest version so far; version 0 if there is none.
-    pub fn policy(&self) -> &PolicyDocument {
-        &self.policy
+    /// The policy document with the highest version so far, if there is one.
+    pub fn policy(&self) -> Option<&PolicyDocument> {
+        self.policy.as_ref()
+    }
+
+    /// Version of [`StateMachine::policy`].
+    pub fn policy_version(&self) -> Option<u64> {
+        self.policy.as_ref().map(|p| p.version)
     }
 
     /// The most gateways that have ever followed the control instances at a time.
@@ -190,7 +195,7 @@
             suspects,
             claim_floor_ms,
             expired,
-            policy: Some(self.policy.clone()),
+            policy: self.policy.clone(),
             gateways: self.gateways,
             evacuated: self.evacuated.iter().cloned().collect(),
             evacuation_revision: self.evacuation_revision,
@@ -210,7 +215,7 @@
             config: Arc::new(config),
             claims: Claims::import(state.claims, &state.expired, state.claim_floor_ms),
             suspects: Suspects::import(state.suspects),
-            policy: state.policy.unwrap_or_default(),
+            policy: state.policy.and_then(PolicyDocument::into_present),
             gateways: state.gateways,
             evacuated: state.evacuated.into_iter().collect(),
             evacuation_revision: state.evacuation_revision,
@@ -219,6 +224,10 @@
         })
     }
 
+    fn policy_outcome(&self) -> OutcomeKind {
+        OutcomeKind::Policy(self.policy.clone().unwrap_or_default())
+    }
+
     fn apply_ticket(&mut self, record: &TicketRecord) -> TicketOutcome {
         let Ok(ticket) = Ticket::from_json(&record.body) else {
             let code = u32::from(Code::TicketInvalid.number());
--- a/crates/core/tests/cluster/mod.rs
+++ b/crates/core/tests/cluster/mod.rs
@@ -113,7 +113,7 @@
     /// Number of reads that were answered.
     pub reads_answered: usize,
     /// Instance of each unanswered read, and the newest policy acknowledged before it was sent.
-    pending_reads: Vec<(usize, Read, u64)>,
+    pending_reads: Vec<(usize, Read, Option<u64>)>,
 }
 
 impl Cluster {
@@ -290,7 +290,7 @@
     /// Sends a read of the policy to an instance; its answer must be as new as any policy acknowledged
     /// before.
     pub fn read(&mut self, i: usize) {
-        let newest = self.acknowledged.iter().map(policy_version).max().unwrap_or(0);
+        let newest = self.acknowledged.iter().filter_map(policy_version).max();
         let now = self.now;
         let Some((r, _)) = self.nodes[i].running.as_mut() else { return };
         let Ok(read) = r.read(now) else { return };
@@ -307,8 +307,8 @@
             }
             let state = r.read_state(read);
             if state == ReadState::Ready {
-                let version = machine.policy().version;
-                assert!(version >= *newest, "read {version}, but {newest} was acknowledged");
+                let version = machine.policy_version();
+                assert!(version >= *newest, "read {version:?}, but {newest:?} was acknowledged");
                 *answered += 1;
             }
             state == ReadState::Waiting
@@ -515,11 +515,11 @@
     }
 }
 
-/// Version of the policy that a command holds; 0 for other commands.
-fn policy_version(command: &Bytes) -> u64 {
+/// Version of the policy that a command holds, if it holds one.
+fn policy_version(command: &Bytes) -> Option<u64> {
     match Command::decode(&command[..]).ok().and_then(|c| c.kind) {
-        Some(Kind::Policy(p)) => p.version,
-        _ => 0,
+        Some(Kind::Policy(p)) => Some(p.version),
+        _ => None,
     }
 }
 
--- a/crates/core/tests/reads.rs
+++ b/crates/core/tests/reads.rs
@@ -69,10 +69,10 @@
         inject_fault(&mut c);
         read_everywhere(&mut c);
         for _ in 0..c.rng.random_range(1..6) {
-            version += 1;
             for i in (0..c.instances()).filter(|i| !c.frozen.contains(i)).collect::<Vec<_>>() {
                 c.propose(i, policy(version));
             }
+            version += 1;
             let ms = c.rng.random_range(5..800);
             c.run(Duration::from_millis(ms));
             read_everywhere(&mut c);
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -132,8 +132,8 @@
         let added = gateway.fleet().followed_controls.record_list(now, from, controls);
         follow_all(gateway, added);
     }
-    if update.policy_version > 0 {
-        gateway.announce_policy(update.policy_version);
+    if let Some(version) = update.policy_version {
+        gateway.announce_policy(version);
     }
     if pools_changed {
         for pool in gateway.all_pools() {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -112,8 +112,8 @@
     pub(crate) control_clients: HashMap<SocketAddr, ControlClient<Channel>>,
     /// Control instances with a task that follows them.
     pub(crate) followed_controls: FollowedControls,
-    /// Newest policy version announced by any control instance.
-    pub(crate) newest_policy_version: u64,
+    /// Newest policy version announced by any control instance, if any was.
+    pub(crate) newest_policy_version: Option<u64>,
 }
 
 impl FleetState {
@@ -285,8 +285,8 @@
     pub(crate) fn install_policy(&self, policy: TrafficPolicy) {
         let version = policy.version();
         let mut current = self.policy.write().unwrap_or_else(PoisonError::into_inner);
-        let before = current.as_ref().map_or(0, |p| p.version());
-        if version <= before {
+        let before = current.as_ref().map(|p| p.version());
+        if before.is_some_and(|before| version <= before) {
             return;
         }
         let limits = policy.limits();
@@ -302,10 +302,10 @@
     /// Records a version that a control instance has announced.
     pub(crate) fn announce_policy(&self, version: u64) {
         let mut fleet = self.fleet();
-        if version <= fleet.newest_policy_version {
+        if fleet.newest_policy_version.is_some_and(|newest| version <= newest) {
             return;
         }
-        fleet.newest_policy_version = version;
+        fleet.newest_policy_version = Some(version);
         drop(fleet);
         self.policy_announced.notify(usize::MAX);
     }
--- a/crates/gateway/src/policy_fetch.rs
+++ b/crates/gateway/src/policy_fetch.rs
@@ -30,10 +30,15 @@
         // Listens before it looks, so that no announcement in between is missed.
         let announced = gateway.listen_for_policies();
         let newest = gateway.fleet().newest_policy_version;
-        if newest <= gateway.policy().map_or(0, |p| p.version()) {
-            announced.await;
-        } else if !fetch_and_install(&gateway, newest).await {
-            sleep(RETRY_PAUSE).await;
+        let in_force = gateway.policy().map(|p| p.version());
+        match newest {
+            // No policy in force is below every version.
+            Some(newest) if in_force < Some(newest) => {
+                if !fetch_and_install(&gateway, newest).await {
+                    sleep(RETRY_PAUSE).await;
+                }
+            }
+            _ => announced.await,
         }
     }
 }
--- a/crates/wire/src/policy_document.rs
+++ b/crates/wire/src/policy_document.rs
@@ -35,6 +35,12 @@
         Self { version, body, compressed: true }
     }
 
+    /// The document, or `None` if it has no body. Messages and snapshots state with such a document that
+    /// there is none yet; its version, 0, is a valid one otherwise.
+    pub fn into_present(self) -> Option<Self> {
+        (!self.body.is_empty()).then_some(self)
+    }
+
     /// The text of the document.
     ///
     /// # Errors
