HTTP client: a response without a valid status is a broken one

Cause: whatever could be parsed counted as a response. RFC 9110 has no status outside of 100 to 599 (section 15), and 101 answers only a request for an upgrade (15.2.2), which is never sent.

Ruled out: numbers below 100, of more or fewer digits, a final 100 or 199 (the test has them, they were 502 before).

An entry answers 502 if an older agent relays such a number.

Why it works: every reader of endpoints' responses goes through this client.

--- a/crates/agent/src/engine_run.rs
+++ b/crates/agent/src/engine_run.rs
@@ -115,6 +115,10 @@
                 return Outcome::NotRun(Code::EngineUnreachable);
             }
             Err(HttpError::Broken { .. }) => return Outcome::Failed(Code::EngineFailed),
+            Err(HttpError::InvalidStatus(number)) => {
+                log::warn!(status = number; "the engine's response has an invalid status");
+                return Outcome::Failed(Code::EngineFailed);
+            }
         };
         let status = response.status().as_u16();
         let model = self.agent.cfg.kind == ServiceKind::Model;
--- a/crates/daemons/tests/planned_stops.rs
+++ b/crates/daemons/tests/planned_stops.rs
@@ -72,7 +72,7 @@
     let call = async {
         match client.send(req, true).await {
             Ok((response, _conn)) => Ok(CallerResponse::read(response).await.status),
-            Err(HttpError::Broken { .. }) => Ok(0),
+            Err(HttpError::Broken { .. } | HttpError::InvalidStatus(_)) => Ok(0),
             Err(e) => Err(format!("{e:?}")),
         }
     };
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -14,6 +14,7 @@
 use crocustally_net::ResponseBody;
 use crocustally_net::coded_response;
 use crocustally_net::collect_body;
+use crocustally_net::final_status;
 use crocustally_net::sliced_body;
 use crocustally_net::timeout;
 use crocustally_wire::Whole;
@@ -172,7 +173,7 @@
     body: ResponseBody,
 ) -> Response<ResponseBody> {
     let mut response = Response::new(body);
-    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    *response.status_mut() = final_status(status).unwrap_or(StatusCode::BAD_GATEWAY);
     let headers = response.headers_mut();
     headers.insert(RUN_HEADER, HeaderValue::from_static(Ran::Yes.as_str()));
     if let Ok(value) = HeaderValue::from_str(content_type) {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -144,6 +144,13 @@
             log_broken_connection(ex, slot, &cause, idle);
             return SendOutcome::MaybeExecuted(RequestOutcome::Broken);
         }
+        Some(Err(HttpError::InvalidStatus(number))) => {
+            log::warn!(
+                id = ex.meta.id.as_str(), endpoint = slot.endpoint.as_str(), status = number;
+                "response has an invalid status"
+            );
+            return SendOutcome::MaybeExecuted(RequestOutcome::Broken);
+        }
         Some(Ok(response)) => response,
     };
     let connection = if conn.is_first_response() { "new" } else { "reused" };
--- a/crates/net/src/http_client.rs
+++ b/crates/net/src/http_client.rs
@@ -27,6 +27,7 @@
 use crate::Runtime;
 use crate::connect::set_ack_timeout;
 use crate::connect::set_reset_on_close;
+use crate::final_status;
 use crate::sleep;
 use crate::timeout;
 use crate::yielding_io::YieldingIo;
@@ -100,6 +101,8 @@
         /// How long the connection had been idle before the request; `None` if it was new.
         idle: Option<Duration>,
     },
+    /// The response has this number in place of a status; the request may have been executed.
+    InvalidStatus(u16),
 }
 
 /// The connection of a response whose body may still be unread; dropping it closes the connection.
@@ -149,6 +152,21 @@
     expires_at: Instant,
 }
 
+/// Rejects a response whose status is none; its connection is closed.
+fn with_valid_status(
+    response: Response<Incoming>,
+    conn: HttpConnection,
+) -> Result<(Response<Incoming>, HttpConnection), HttpError> {
+    let number = response.status().as_u16();
+    match final_status(number) {
+        Some(_) => Ok((response, conn)),
+        None => {
+            metrics::counter!("crocustally_invalid_statuses").increment(1);
+            Err(HttpError::InvalidStatus(number))
+        }
+    }
+}
+
 /// A client of one address with a pool of idle connections.
 #[derive(Debug)]
 pub struct HttpClient {
@@ -201,7 +219,7 @@
         if !idle_below.is_zero() {
             while let Some((mut conn, idle)) = self.take_idle(idle_below) {
                 match conn.send(req).await {
-                    Ok(response) => return Ok((response, conn)),
+                    Ok(response) => return with_valid_status(response, conn),
                     Err(mut e) => match e.take_message() {
                         // The connection was closed before any byte of the request was written.
                         Some(unsent) => req = unsent,
@@ -215,7 +233,7 @@
         }
         let mut conn = self.connect().await?;
         match conn.send(req).await {
-            Ok(response) => Ok((response, conn)),
+            Ok(response) => with_valid_status(response, conn),
             Err(mut e) => match e.take_message() {
                 Some(_) => Err(HttpError::NotSent),
                 None => Err(HttpError::Broken { cause: e.into_error(), idle: None }),
