Rank agent: each order has a new connection

Cause: orders went out over kept connections on which reports had been read. A late second copy of a report, a 200, was taken as the answer to an order that the engine had left unanswered, and the coordinator let the other ranks switch.

Change: orders are sent over new connections, on which no earlier response can come.

Test that failed before: order_answers::second_copy_of_a_report_is_no_answer_to_an_order (outcome "holds already" for all four kinds of orders with the change taken out).

--- a/crates/rank/src/agent.rs
+++ b/crates/rank/src/agent.rs
@@ -307,7 +307,9 @@
             _ => EngineOrder::Go { step },
         };
         let body = self.dialect.encode_order(order.epoch, engine_order);
-        let call = self.call(address, Method::POST, self.dialect.order_path(), body);
+        // Responses of engines carry no id, so a late second copy of an earlier one would be taken for the
+        // response to the order. Nothing has been sent over a new connection before.
+        let call = self.call(address, Method::POST, self.dialect.order_path(), body, true);
         let status = timeout(ORDER_TIMEOUT, call).await.flatten().map(|(status, _)| status);
         log::info!(
             kind = order.kind, version = version, step = step, epoch = order.epoch,
@@ -323,7 +325,7 @@
     }
 
     async fn get(&self, address: SocketAddr, path: &str) -> Option<Bytes> {
-        let call = self.call(address, Method::GET, path, Bytes::new());
+        let call = self.call(address, Method::GET, path, Bytes::new(), false);
         let (status, body) = timeout(ENGINE_TIMEOUT, call).await.flatten()?;
         status.is_success().then_some(body)
     }
@@ -334,6 +336,7 @@
         method: Method,
         path: &str,
         body: Bytes,
+        new_connection: bool,
     ) -> Option<(StatusCode, Bytes)> {
         let client = self.client(address);
         let req = Request::builder()
@@ -343,7 +346,7 @@
             .header("content-type", "application/json")
             .body(Full::new(body))
             .ok()?;
-        let (response, conn) = client.send(req, false).await.ok()?;
+        let (response, conn) = client.send(req, new_connection).await.ok()?;
         let status = response.status();
         let body =
             match collect_body(&mut response.into_body(), ENGINE_BODY_MAX, &self.buffers).await {
