Control: departures without a start are passed on once, fetched ones broadcast in one update

Cause: a departure without a start can't be told from one that is known, and was kept for the next fetch; fetched departures went through the path of announced ones.

Change: only departures with a start are kept for fetches; what a call brings is recorded and broadcast together.

Test that failed before: coordinators::departure_is_passed_on_once (revision 68 instead of 1).

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -143,7 +143,7 @@
         let known = {
             let mut soft_state = self.soft_state();
             let known = soft_state.registry.get(id).map(|r| r.heartbeat.born_ms);
-            soft_state.record_departure(now, now, &departure);
+            soft_state.record_departure(now, &departure);
             known
         };
         log::info!(endpoint = id, born = born_ms, known = known; "endpoint deregistered");
--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -92,7 +92,7 @@
         let Some(beat) = req.into_inner().endpoint else {
             return Err(Status::invalid_argument("the departure names no endpoint"));
         };
-        self.control.record_departure(beat);
+        self.control.record_departures(vec![beat]);
         Ok(Response::new(NoticeAck {}))
     }
 
--- a/crates/control/src/departures.rs
+++ b/crates/control/src/departures.rs
@@ -4,10 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crocustally_core::fleet::Departure;
-use crocustally_core::fleet::Heartbeat;
 use crocustally_core::fleet::HeartbeatState;
-use crocustally_core::fleet::RegistryChange;
 use crocustally_net::sleep;
 use crocustally_net::timeout;
 use crocustally_wire as wire;
@@ -24,27 +21,13 @@
 const FETCH_PERIOD: Duration = Duration::from_secs(2);
 
 impl Control {
-    /// Records a departure of which another instance has heard.
-    pub(crate) fn record_departure(&self, beat: EndpointBeat) {
-        let now = self.clock.now();
-        let age = Duration::from_millis(u64::from(beat.age_ms));
-        let at = now.checked_sub(age).unwrap_or(now);
-        let (id, born) = (beat.id.clone(), beat.born_ms);
-        let state = format!("{:?}", HeartbeatState::from_number(beat.state));
-        if let Some(departure) = Departure::from_wire(&beat) {
-            if self.soft_state().registry.has_departed(&departure) {
-                return;
-            }
-            self.soft_state().record_departure(now, at, &departure);
-        } else if let Ok(heartbeat) = Heartbeat::try_from(beat) {
-            if self.soft_state().record_heartbeat(at, heartbeat) == RegistryChange::Ignored {
-                return;
-            }
-        } else {
-            log::warn!(endpoint = id.as_str(); "malformed departure");
-            return;
+    /// Records departures of which another instance has heard.
+    pub(crate) fn record_departures(&self, notices: Vec<EndpointBeat>) {
+        for new in self.soft_state().record_departures(self.clock.now(), notices) {
+            let (id, born) = (new.id.as_str(), new.born_ms);
+            let state = format!("{:?}", HeartbeatState::from_number(new.state));
+            log::info!(endpoint = id, born = born, state = state.as_str(); "endpoint departs");
         }
-        log::info!(endpoint = id.as_str(), born = born, state = state.as_str(); "endpoint departs");
     }
 
     /// Fetches the departures that other instances have heard of, for as long as the process runs.
@@ -70,7 +53,7 @@
                 let Some((name, list)) = call.await else { continue };
                 let DepartureList { run, revision, endpoints } = list;
                 known.insert(name, ListDeparturesRequest { run: Some(run), revision });
-                endpoints.into_iter().for_each(|beat| self.record_departure(beat));
+                self.record_departures(endpoints);
             }
             sleep(FETCH_PERIOD).await;
         }
--- a/crates/control/src/soft_state.rs
+++ b/crates/control/src/soft_state.rs
@@ -76,32 +76,78 @@
     /// Records a heartbeat. A change is broadcast at once, a mere refresh with the next flush.
     pub(crate) fn record_heartbeat(&mut self, now: Instant, beat: Heartbeat) -> RegistryChange {
         let notice = beat.to_wire(Duration::ZERO);
-        let change = self.registry.record_heartbeat(now, beat);
+        let change = match beat.state {
+            HeartbeatState::Draining => self.keep_draining(now, beat),
+            HeartbeatState::Ready | HeartbeatState::Gone => {
+                self.registry.record_heartbeat(now, beat)
+            }
+        };
         match change {
             RegistryChange::Ignored => {}
             RegistryChange::Refreshed => self.refreshed.push(notice),
             RegistryChange::Changed => {
-                if HeartbeatState::from_number(notice.state) == HeartbeatState::Draining {
-                    self.departures.push(now, notice.clone());
-                }
                 self.broadcast(Update { endpoints: vec![notice], ..Update::default() })
             }
         }
         change
     }
 
-    /// Records a departure that was announced at `at`.
+    /// Records and broadcasts a departure that an endpoint has announced here.
     ///
     /// It is broadcast as it was announced, also that of an unknown endpoint or of another start than
     /// the one known here, since subscribers may know it from another instance.
-    pub(crate) fn record_departure(&mut self, now: Instant, at: Instant, departure: &Departure) {
-        let age = now.saturating_duration_since(at);
-        if !self.registry.has_departed(departure) {
+    pub(crate) fn record_departure(&mut self, now: Instant, departure: &Departure) {
+        self.keep_departure(now, departure);
+        let endpoints = vec![departure.to_wire(Duration::ZERO)];
+        self.broadcast(Update { endpoints, ..Update::default() });
+    }
+
+    /// Records the departures, draining or gone, of which another instance has heard. Returns the new
+    /// ones, which are broadcast in one update.
+    pub(crate) fn record_departures(
+        &mut self,
+        now: Instant,
+        notices: Vec<EndpointBeat>,
+    ) -> Vec<EndpointBeat> {
+        let mut new = Vec::new();
+        for notice in notices {
+            let age = Duration::from_millis(u64::from(notice.age_ms));
+            let at = now.checked_sub(age).unwrap_or(now);
+            let is_new = if let Some(departure) = Departure::from_wire(&notice) {
+                let is_new = !self.registry.has_departed(&departure);
+                self.keep_departure(at, &departure);
+                is_new
+            } else if let Ok(heartbeat) = Heartbeat::try_from(notice.clone()) {
+                self.keep_draining(at, heartbeat) != RegistryChange::Ignored
+            } else {
+                log::warn!(endpoint = notice.id.as_str(); "malformed departure");
+                false
+            };
+            if is_new {
+                new.push(notice);
+            }
+        }
+        if !new.is_empty() {
+            self.broadcast(Update { endpoints: new.clone(), ..Update::default() });
+        }
+        new
+    }
+
+    fn keep_departure(&mut self, at: Instant, departure: &Departure) {
+        // Without a start it cannot be told from one that is known, and would be fetched again and again.
+        if departure.born_ms.is_some() && !self.registry.has_departed(departure) {
             self.departures.push(at, departure.to_wire(Duration::ZERO));
         }
         self.registry.record_departure(at, departure);
-        let endpoints = vec![departure.to_wire(age)];
-        self.broadcast(Update { endpoints, ..Update::default() });
+    }
+
+    fn keep_draining(&mut self, at: Instant, heartbeat: Heartbeat) -> RegistryChange {
+        let notice = heartbeat.to_wire(Duration::ZERO);
+        let change = self.registry.record_heartbeat(at, heartbeat);
+        if change == RegistryChange::Changed {
+            self.departures.push(at, notice);
+        }
+        change
     }
 
     /// Records the load of a rank.
