Daemons: a SIGTERM that comes before the start ends the process at once

Cause: the request was seen only by a task of the executor, beside the start.

Change: signals that have arrived are looked at before the start; a process that has never listened has no callers to wait for. The test is as it was.

--- a/crates/daemons/src/daemon.rs
+++ b/crates/daemons/src/daemon.rs
@@ -126,6 +126,12 @@
     reload: impl Fn() -> Result<T, SettingsError> + Send + 'static,
     start: impl FnOnce(DaemonContext<T>, T) -> F,
 ) -> std::io::Result<()> {
+    if shutdown.is_requested() {
+        // Nobody can have been directed to a process that has never listened.
+        log::info!(name = common.name.as_str(); "stopped before it has started");
+        log::logger().flush();
+        return Ok(());
+    }
     let state = AdminState::default();
     let new_settings = watch_settings(rt, Shutdown::reload_requests(rt, hangups), reload);
     let cx = DaemonContext {
--- a/crates/net/src/shutdown.rs
+++ b/crates/net/src/shutdown.rs
@@ -13,6 +13,7 @@
 use async_signal::Signals;
 use event_listener::Event;
 use futures_lite::StreamExt;
+use futures_lite::future;
 
 use crate::Runtime;
 use crate::sleep;
@@ -123,9 +124,13 @@
 }
 
 impl Shutdown {
-    /// Requests the shutdown on the first of `signals`; later ones have no effect.
+    /// Requests the shutdown on the first of `signals`, at once if one has arrived already; later ones
+    /// have no effect.
     pub fn on_signals(&self, rt: &Runtime, signals: Signals) {
         let (this, mut signals) = (self.clone(), signals);
+        if async_io::block_on(future::poll_once(signals.next())).flatten().is_some() {
+            this.request();
+        }
         rt.spawn(async move {
             while signals.next().await.is_some() {
                 this.request();
