--- a/review/12/case.py
+++ b/review/12/case.py
@@ -129,6 +129,9 @@
     await asyncio.sleep(EVACUATION_S + 10.0)
     background.cancel()
     await asyncio.gather(*tasks)
+    if operator.kept:
+        operator.kept[1].close()
+        await asyncio.sleep(0.1)
     return judge(lab, acknowledged)
 
 
