--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -40,6 +40,12 @@
     }
 }
 
+/// Whether a response with this HTTP status promises its caller that the request has not run and never
+/// will, so that the caller may send it again whatever it is: 408, 421, 429 and 503.
+pub fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 macro_rules! codes {
     ($($(#[$doc:meta])* $name:ident = $number:literal, $status:literal, $ran:ident, $text:literal;)*) => {
         /// A numbered result code.
@@ -104,13 +110,14 @@
     KeyExpired = 3004, 410, No, "The idempotency key is older than the retention time.";
     AttemptRevoked = 3005, 503, No, "The attempt was revoked before it started.";
     StillRunning = 3006, 409, Yes, "The request is still running under the same key.";
-    ClaimUnchecked = 3007, 503, Unknown, "No quorum: an earlier sending under this key may have run.";
+    ClaimUnchecked = 3007, 502, Unknown, "No quorum: an earlier sending under this key may have run.";
     AnswerBroken = 4001, 502, Unknown, "The answer ended before its end mark.";
     Quarantined = 4002, 422, Unknown, "The request crashed two endpoints and is refused everywhere.";
     EngineFailed = 4003, 502, Unknown, "The engine broke off the request.";
     DeadlineOver = 4004, 504, Unknown, "The answer did not arrive within the deadline.";
     PromptBlocked = 4005, 503, No, "A part of the prompt crashes endpoints; requests with it are refused.";
     AnswerUnbuffered = 4006, 502, Unknown, "The instance had no memory left for the answer.";
+    EndpointFailed = 4007, 502, Unknown, "The endpoint answered with a status that says not run, but may have run it.";
     TicketConflict = 5001, 409, No, "The ticket number was decided with other content.";
     TicketStale = 5002, 409, No, "A later ticket has changed something that this one touches.";
     TicketInvalid = 5003, 400, No, "The ticket does not describe a valid state.";
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,5 +31,6 @@
 pub use code::Code;
 pub use code::Ran;
 pub use code::UnknownCode;
+pub use code::promises_not_run;
 pub use digest::Digest;
 pub use digest::InvalidDigestLength;
--- a/crates/core/tests/codes.rs
+++ b/crates/core/tests/codes.rs
@@ -1,6 +1,8 @@
 //! Tests that the documented table of result codes matches [`Code`].
 
 use crocustally_core::Code;
+use crocustally_core::Ran;
+use crocustally_core::promises_not_run;
 
 #[test]
 fn documented_codes_match_code_table() {
@@ -20,3 +22,11 @@
         assert!(Code::ALL[..i].iter().all(|o| o.number() < c.number()), "{c:?} out of order");
     }
 }
+
+/// Guards against a code for requests that may have run whose status promises callers the opposite.
+#[test]
+fn codes_of_requests_that_may_have_run_promise_nothing() {
+    let promising = Code::ALL.iter().filter(|c| promises_not_run(c.status()));
+    let unkept: Vec<_> = promising.filter(|c| c.ran() != Ran::No).collect();
+    assert!(unkept.is_empty(), "{unkept:?}");
+}
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -14,14 +14,13 @@
 use crocustally_net::ResponseBody;
 use crocustally_net::coded_response;
 use crocustally_net::collect_body;
-use crocustally_net::final_status;
+use crocustally_net::executed_status;
 use crocustally_net::sliced_body;
 use crocustally_net::timeout;
 use crocustally_wire::Whole;
 use futures_lite::future;
 use hyper::Request;
 use hyper::Response;
-use hyper::StatusCode;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
@@ -35,7 +34,7 @@
 use crate::once;
 use crate::relay;
 
-/// Status of a response whose own status is invalid.
+/// Status of a response whose own status is no number of a status.
 const BAD_GATEWAY: u16 = 502;
 
 /// A complete response.
@@ -173,7 +172,12 @@
     body: ResponseBody,
 ) -> Response<ResponseBody> {
     let mut response = Response::new(body);
-    *response.status_mut() = final_status(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    *response.status_mut() = executed_status(status);
+    if response.status().as_u16() != status {
+        let sent = response.status().as_u16();
+        log::warn!(status = status, sent = sent; "status of an endpoint's response replaced");
+        metrics::counter!("crocustally_statuses_replaced").increment(1);
+    }
     let headers = response.headers_mut();
     headers.insert(RUN_HEADER, HeaderValue::from_static(Ran::Yes.as_str()));
     if let Ok(value) = HeaderValue::from_str(content_type) {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -98,7 +98,8 @@
     /// Decodes the head of an endpoint's response.
     fn decode_response(&self, head: &response::Parts) -> ResponseHead;
 
-    /// Builds the headers of an endpoint's response to the caller.
+    /// Builds the headers of an endpoint's response to the caller, without those that the endpoint
+    /// addresses to the gateway.
     fn relay_headers(&self, head: &response::Parts) -> HeaderMap;
 
     /// Builds the gateway's own error response; `retry_after` is when a slot is expected.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -370,6 +370,8 @@
     pub(crate) events: u32,
     pub(crate) tries: SmallVec<[(String, Duration, RequestOutcome); 2]>,
     pub(crate) status: u16,
+    /// Status of the endpoint's response that was relayed or replaced.
+    pub(crate) endpoint_status: Option<u16>,
     pub(crate) code: Option<Code>,
     pub(crate) retry_after: Option<Duration>,
     /// Shared parts of the prompt.
@@ -422,6 +424,7 @@
             policy = self.policy_version,
             urgency = self.urgency,
             status = self.status,
+            endpoint_status = self.endpoint_status,
             code = self.code.map(Code::number),
             queued_ms = ms(self.queue_time),
             first_ms = self.first_byte.map(ms),
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -174,6 +174,7 @@
             events: 0,
             tries: SmallVec::new(),
             status: 0,
+            endpoint_status: None,
             code: None,
             retry_after: None,
             parts: meta.shared_parts.clone(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod gateway;
 mod group_metrics;
 mod policy_fetch;
+mod relayed;
 mod settings;
 mod slots;
 mod stream;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -26,6 +26,7 @@
 use crate::EventBuffer;
 use crate::endpoint_ends;
 use crate::exchange::Exchange;
+use crate::relayed;
 use crate::slots::Slot;
 use crate::upstream;
 use crate::upstream::BodyError;
@@ -157,18 +158,11 @@
         }
     };
     ex.record_attempt(slot, RequestOutcome::Failed);
-    if response.head.status.is_server_error() && ex.can_rerun() && ex.can_send() {
+    if response.is_failure() && ex.can_rerun() && ex.can_send() {
         response.reuse_connection();
         return OpenError::Interrupted;
     }
-    let mut out = Response::new(body.into_body());
-    *out.status_mut() = response.head.status;
-    *out.headers_mut() = ex.gateway.dialect.relay_headers(&response.head);
-    ex.access_log.status = response.head.status.as_u16();
-    ex.access_log.framing = Some(response.framing);
-    ex.access_log.complete = true;
-    response.reuse_connection();
-    OpenError::Final(Box::new(out))
+    OpenError::Final(Box::new(relayed::relay(ex, *response, body)))
 }
 
 /// Waits for the first item. An endpoint that cannot be reached any more is left in time for another
@@ -262,9 +256,8 @@
 
 /// Builds the response: the head of the first upstream stream, and the events of all of them.
 fn relay(mut ex: Exchange, source: UpstreamStream, first: StreamItem) -> Response<ResponseBody> {
-    let head = &source.response.head;
-    let status = head.status;
-    let headers = ex.gateway.dialect.relay_headers(head);
+    let status = source.response.head.status;
+    let headers = ex.gateway.dialect.relay_headers(&source.response.head);
     ex.access_log.status = status.as_u16();
     ex.access_log.first_byte = Some(ex.now().saturating_duration_since(ex.arrived));
     let state = Relay {
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -12,6 +12,7 @@
 
 use crate::endpoint_ends;
 use crate::exchange::Exchange;
+use crate::relayed::relay;
 use crate::upstream;
 use crate::upstream::EndpointResponse;
 use crate::upstream::SendOutcome;
@@ -69,7 +70,7 @@
                         return final_response(&mut ex, failure, refusal);
                     }
                 };
-                let failed = response.head.status.is_server_error();
+                let failed = response.is_failure();
                 ex.record_attempt(
                     slot,
                     if failed { RequestOutcome::Failed } else { RequestOutcome::Whole },
@@ -117,16 +118,3 @@
         None => ex.reject_or_fail(refusal),
     }
 }
-
-/// Relays an endpoint's response unchanged.
-fn relay(ex: &mut Exchange, response: EndpointResponse, body: BlockBody) -> Response<ResponseBody> {
-    let mut out = Response::new(body.into_body());
-    *out.status_mut() = response.head.status;
-    *out.headers_mut() = ex.gateway.dialect.relay_headers(&response.head);
-    ex.access_log.status = response.head.status.as_u16();
-    ex.access_log.framing = Some(response.framing);
-    ex.access_log.first_byte = Some(ex.now().saturating_duration_since(ex.arrived));
-    ex.access_log.complete = true;
-    response.reuse_connection();
-    out
-}
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crocustally_core::dispatch::RequestOutcome;
+use crocustally_core::promises_not_run;
 use crocustally_net::BlockBody;
 use crocustally_net::BodyFraming;
 use crocustally_net::CollectError;
@@ -52,6 +53,11 @@
 }
 
 impl EndpointResponse {
+    /// Whether the endpoint has failed the request, which another one may serve.
+    pub(crate) fn is_failure(&self) -> bool {
+        self.head.status.is_server_error() || promises_not_run(self.head.status.as_u16())
+    }
+
     /// Closes the idle connections to the endpoint, which has gone silent during this response.
     pub(crate) fn discard_idle_connections(&self) {
         self.client.discard_idle();
--- a/crates/net/src/http_server.rs
+++ b/crates/net/src/http_server.rs
@@ -41,6 +41,7 @@
 use crate::connect::set_ack_timeout;
 use crate::connect::set_reset_on_close;
 use crate::connect::set_send_buffer;
+use crate::executed_status;
 
 /// The body of a response.
 pub type ResponseBody = UnsyncBoxBody<Bytes, std::io::Error>;
@@ -120,10 +121,16 @@
 }
 
 /// An error response with its numbered code; `ran` states whether the request was executed.
+///
+/// The status is that of the code unless it promises that the request has not run and that is not so.
 pub fn coded_response(code: Code, ran: Ran) -> Response<ResponseBody> {
     let mut response = Response::new(full_body(coded_body(code, ran)));
-    *response.status_mut() =
-        hyper::StatusCode::from_u16(code.status()).unwrap_or(hyper::StatusCode::BAD_GATEWAY);
+    *response.status_mut() = match ran {
+        Ran::No => {
+            hyper::StatusCode::from_u16(code.status()).unwrap_or(hyper::StatusCode::BAD_GATEWAY)
+        }
+        Ran::Yes | Ran::Unknown => executed_status(code.status()),
+    };
     let headers = response.headers_mut();
     let run = hyper::header::HeaderValue::from_static(ran.as_str());
     headers.insert(RUN_HEADER, run);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -66,6 +66,7 @@
 pub use collect_body::collect_blocks;
 pub use collect_body::collect_body;
 pub use data_folder::DataFolder;
+pub use final_status::executed_status;
 pub use final_status::final_status;
 pub use grpc_server::GrpcLimits;
 pub use grpc_server::serve_grpc;
--- a/crates/programs/tests/once.rs
+++ b/crates/programs/tests/once.rs
@@ -33,7 +33,7 @@
         assistants: 0,
         portals: 1,
         entries: 3,
-        plain: PlainSettings { work_time: work },
+        plain: PlainSettings { work_time: work, ..PlainSettings::default() },
         ..FleetSettings::default()
     }
 }
@@ -76,6 +76,26 @@
     });
 }
 
+/// Guards against a request that has run and is answered with a status that promises the opposite, at
+/// once, from the stored response, and for a request that may be repeated.
+#[test]
+fn status_of_a_service_does_not_say_that_its_request_has_not_run() {
+    run(|rt| async move {
+        for status in [408, 421, 429, 503] {
+            let plain = PlainSettings { status: Some(status), ..PlainSettings::default() };
+            let fleet = ready_fleet(&rt, FleetSettings { plain, ..small_settings() }).await;
+            let key = format!("k{status}");
+            for entry in [0, 1] {
+                let response = fleet.caller(entry).send(&booking(&key)).await;
+                let seen = (response.status, response.ran.as_str());
+                assert_eq!(seen, (502, "yes"), "{status} at entry {entry}: {response:?}");
+                assert!(!response.body.is_empty(), "{status}: the service's own words are gone");
+            }
+            assert_eq!(fleet.stand_ins.journal.run_count(&key), 1, "{status}");
+        }
+    });
+}
+
 #[test]
 fn retry_during_the_run_waits_for_its_response() {
     run(|rt| async move {
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -16,6 +16,7 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use serde_json::json;
 
@@ -28,6 +29,8 @@
 pub struct PlainSettings {
     /// Time between recording the run of a request and sending its response.
     pub work_time: Duration,
+    /// Status of the responses to requests that have run; 200 without one.
+    pub status: Option<u16>,
 }
 
 /// Number of runs per idempotency key, shared by all services of a deployment.
@@ -133,6 +136,11 @@
         }
         let run_number = self.journal.record(&key);
         sleep(self.cfg.work_time).await;
-        Response::new(full_body(json!({"key": key, "run": run_number}).to_string()))
+        let body = full_body(json!({"key": key, "run": run_number}).to_string());
+        let mut response = Response::new(body);
+        if let Some(status) = self.cfg.status.and_then(|s| StatusCode::from_u16(s).ok()) {
+            *response.status_mut() = status;
+        }
+        response
     }
 }
