--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -376,13 +376,13 @@
     let (crashing, other) = (Digest::of(&[b"bad"]), Digest::of(&[b"other"]));
     for (n, endpoint) in ["e1", "e2", "e2", "e3"].iter().enumerate() {
         assert!(!tracker.is_quarantined(crashing), "quarantined after {n} crash reports");
-        tracker.record_crash(now, crashing, endpoint);
-        tracker.record_crash(now, other, "e1");
+        tracker.record_crash(now, crashing, endpoint, Some(1));
+        tracker.record_crash(now, other, "e1", Some(1));
     }
     assert!(tracker.is_quarantined(crashing));
     assert!(!tracker.is_quarantined(other));
     // A quarantine ends after two minutes without a crash.
-    tracker.record_crash(now + Duration::from_secs(121), other, "e9");
+    tracker.record_crash(now + Duration::from_secs(121), other, "e9", Some(1));
     assert!(!tracker.is_quarantined(crashing));
 }
 
--- a/crates/daemons/tests/crashing_parts.rs
+++ b/crates/daemons/tests/crashing_parts.rs
@@ -242,6 +242,7 @@
     let endpoints = (0..ENDPOINTS).map(|index| {
         let cfg = EndpointSettings {
             index,
+            keeps_id: false,
             domain: format!("d{}", index % DOMAINS),
             end,
             crashing_parts: vec![PART.to_owned()],
--- a/crates/gateway/src/endpoint_ends.rs
+++ b/crates/gateway/src/endpoint_ends.rs
@@ -110,7 +110,7 @@
     incarnation.is_none_or(|i| i.is_replaced(&ex.gateway))
 }
 
-/// A request in flight at an endpoint, and the shared parts of its prompt.
+/// A request in flight at an endpoint, and the shared parts of its prompt, if any are known.
 pub(crate) struct InFlight {
     gateway: Arc<Gateway>,
     service: String,
@@ -166,20 +166,19 @@
 }
 
 impl InFlight {
-    /// `None` if the parts of the prompt are unknown.
-    pub(crate) fn new(ex: &Exchange, key: MemberKey, registration: &Registration) -> Option<Self> {
-        let beat = &registration.heartbeat;
-        (!ex.meta.shared_parts.is_empty()).then(|| Self {
+    pub(crate) fn new(ex: &Exchange, key: MemberKey, registration: Registration) -> Self {
+        let beat = registration.heartbeat;
+        Self {
             gateway: ex.gateway.clone(),
-            service: ex.access_log.service.clone(),
+            service: beat.service,
             parts: ex.meta.shared_parts.clone(),
             key,
-            incarnation: Incarnation::of(registration),
-            domain: beat.domain.clone(),
+            incarnation: Incarnation { endpoint: beat.id, born_ms: beat.born_ms },
+            domain: beat.domain,
             address: beat.address,
             digest: ex.digest,
             sent_at: ex.now(),
-        })
+        }
     }
 
     /// Checks in the background whether the endpoint has ended, if the outcome may be due to that.
@@ -190,14 +189,15 @@
         answered_for: Option<Duration>,
         silent_for: Duration,
     ) {
+        let has_parts = !self.parts.is_empty();
         let silent = match outcome {
             RequestOutcome::Broken => false,
-            RequestOutcome::Silent => true,
-            RequestOutcome::Unused if silent_for >= SUSPICIOUS_SILENCE => true,
+            RequestOutcome::Silent if has_parts => true,
+            RequestOutcome::Unused if has_parts && silent_for >= SUSPICIOUS_SILENCE => true,
             _ => return,
         };
-        let began_before =
-            answered_for.is_some_and(|time| time.saturating_sub(silent_for) >= BEGINNING);
+        let began_before = has_parts
+            && answered_for.is_some_and(|time| time.saturating_sub(silent_for) >= BEGINNING);
         if began_before || self.leaves_as_announced() {
             return;
         }
@@ -250,7 +250,12 @@
             return;
         }
         for request in &requests {
-            suspects::report_crash(gateway, request.digest, &self.incarnation.endpoint);
+            let Incarnation { endpoint, born_ms } = &self.incarnation;
+            suspects::report_crash(gateway, request.digest, endpoint, *born_ms);
+        }
+        let requests: Vec<_> = requests.into_iter().filter(|r| !r.parts.is_empty()).collect();
+        if requests.is_empty() {
+            return;
         }
         let mut pending = gateway.crash_reports.lock();
         if pending.ends.len() >= ENDS_PENDING_MAX {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -32,7 +32,6 @@
 use crate::endpoint_ends::InFlight;
 use crate::slots::Slot;
 use crate::slots::SlotPool;
-use crate::suspects;
 
 /// Refused sends allowed beyond a route's attempts before the request is rejected.
 const REFUSED_SENDS_MAX: usize = 2;
@@ -250,7 +249,7 @@
         let registration = self
             .slot_pool
             .with_pool(|pool| pool.member(slot.key).map(|member| member.registration.clone()));
-        slot.set_in_flight(registration.and_then(|r| InFlight::new(self, slot.key, &r)));
+        slot.set_in_flight(registration.map(|r| InFlight::new(self, slot.key, r)));
         Ok(slot)
     }
 
@@ -302,9 +301,6 @@
         self.progress.may_have_run.store(self.executions > 0, Ordering::Release);
         let took = self.now().saturating_duration_since(slot.sent_at);
         self.access_log.tries.push((slot.endpoint.clone(), took, outcome));
-        if outcome == RequestOutcome::Broken && self.meta.shared_parts.is_empty() {
-            suspects::check_crash(self, &slot);
-        }
         self.tried.push(slot.key);
         let pauses = |pool: &SlotPool| pool.with_pool(|p| p.refusal_pauses());
         let pauses_before = pauses(&self.slot_pool);
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -123,7 +123,7 @@
     }
     for suspect in &update.suspects {
         if let Ok(digest) = Digest::try_from(&suspect.digest[..]) {
-            suspects::record_crash(gateway, digest, &suspect.endpoint);
+            suspects::record_crash(gateway, digest, &suspect.endpoint, suspect.born_ms);
         }
     }
     let controls: Vec<SocketAddr> =
