--- a/crates/bench/src/args.rs
+++ b/crates/bench/src/args.rs
@@ -15,6 +15,7 @@
 use crate::control;
 use crate::domain;
 use crate::overhead;
+use crate::parts;
 use crate::route;
 use crate::steps;
 use crate::steps::MapPolicy;
@@ -52,6 +53,7 @@
             experiment("overhead", "What entry and agent add to a direct call")
                 .arg(count_arg("requests", "40000")),
         )
+        .subcommand(experiment("parts", "What parts of prompts cost, by the length of prompts"))
         .subcommand(
             experiment("route", "Policies of choosing an endpoint against the same arrivals").arg(
                 Arg::new("policy").long("policy").default_value("crocustally").value_parser([
@@ -122,6 +124,7 @@
             let requests = arg_value::<u64>(m, "requests") as usize;
             async_io::block_on(overhead::run(&rt, seed, requests))
         }
+        "parts" => parts::run(seed),
         "route" => {
             let policy = m.get_one::<String>("policy").cloned().unwrap_or_default();
             route::run(seed, &policy)
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -11,6 +11,7 @@
 mod drift;
 mod load;
 mod overhead;
+mod parts;
 mod proc;
 mod route;
 mod stats;
--- a/crates/cli/src/blocked.rs
+++ b/crates/cli/src/blocked.rs
@@ -6,6 +6,7 @@
 
 use crocustally_core::Code;
 use crocustally_core::control::PromptPart;
+use crocustally_core::control::list_parts;
 use crocustally_net::Channel;
 use crocustally_net::Runtime;
 use crocustally_net::timeout;
@@ -42,10 +43,9 @@
 }
 
 fn print_block(service: &str, block: &BlockedParts) {
-    let parts: Vec<String> = block.parts.iter().map(|p| PromptPart(*p).to_string()).collect();
     println!(
         "{service}: {} blocked since {} ms (Unix time); endpoints ended: {}",
-        parts.join(" with "),
+        list_parts(&block.parts, " with "),
         block.since_ms,
         block.endpoints.join(" ")
     );
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -6,6 +6,8 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::RwLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -15,6 +17,7 @@
 use crocustally_core::control::PauseDetector;
 use crocustally_core::control::PromptPart;
 use crocustally_core::control::StateMachine;
+use crocustally_core::control::list_parts;
 use crocustally_core::experts::Delegation;
 use crocustally_core::experts::VersionBlock;
 use crocustally_core::raft::Role;
@@ -72,6 +75,9 @@
 /// Interval between batched updates to subscribers. Gateways route by the load of ranks, so it has
 /// to stay short.
 const FLUSH_PERIOD: Duration = Duration::from_millis(100);
+/// Shortest interval between two updates on which parts of prompts are suspected. Sound answers clear them one
+/// after the other, and each update has all of them; blocked ones are sent at once.
+const SUSPECTS_PERIOD: Duration = Duration::from_millis(200);
 /// Time without a message of its replica after which an instance coordinates no more groups. Replicas
 /// answer the leader's heartbeats several times as often.
 const PEER_RESPONSE_TIME: Duration = Duration::from_millis(800);
@@ -99,6 +105,8 @@
     /// The applied policy, decoded; `None` before the first usable one.
     policy: RwLock<Option<Arc<TrafficPolicy>>>,
     pauses: Mutex<PauseDetector>,
+    /// Whether parts of prompts are suspected, or no longer, of which subscribers have not been told.
+    suspects_changed: AtomicBool,
     /// The text last read by an operator, shared by all responses with it, and its version.
     policy_text: Mutex<Option<(u64, Bytes)>>,
 }
@@ -137,6 +145,7 @@
             delegation: Mutex::new(Delegation::default()),
             policy: RwLock::new(None),
             pauses: Mutex::default(),
+            suspects_changed: AtomicBool::new(false),
             policy_text: Mutex::new(None),
             buffers: BufferBudget::of_process(cfg.memory_mb),
             cfg,
@@ -222,12 +231,12 @@
         if !self.state_machine().crash_evidence().trial_due(&trial) {
             return false;
         }
-        let parts: Vec<String> = trial.parts.iter().map(|p| PromptPart(*p).to_string()).collect();
+        let parts = list_parts(&trial.parts, ",");
         let service = trial.service.clone();
         let outcome = self.log.propose(Kind::Trial(trial), LIFT_TIMEOUT).await;
         let granted = matches!(outcome.map(|o| o.kind), Ok(Some(OutcomeKind::Done(true))));
         log::info!(
-            service = service.as_str(), parts = parts.join(",").as_str(), granted = granted;
+            service = service.as_str(), parts = parts.as_str(), granted = granted;
             "trial of blocked parts of prompts"
         );
         granted
@@ -257,11 +266,14 @@
         while let Ok(machine) = state_machines.recv().await {
             let before = self.state_machine();
             *self.state_machine.write().unwrap_or_else(PoisonError::into_inner) = machine.clone();
+            let evidence = (before.crash_evidence(), machine.crash_evidence());
             let unchanged = before.policy_version() == machine.policy_version()
                 && before.evacuated() == machine.evacuated()
                 && before.gateways() == machine.gateways()
-                && before.crash_evidence() == machine.crash_evidence();
+                && evidence.0.has_same_blocks(evidence.1);
             if unchanged && before.last_applied() > 0 {
+                let changed = !Arc::ptr_eq(evidence.0, evidence.1);
+                self.suspects_changed.fetch_or(changed, Ordering::AcqRel);
                 continue;
             }
             log::info!(
@@ -410,13 +422,20 @@
     async fn flush_loop(self: Arc<Self>, rt: Runtime) {
         let mut controls = Vec::new();
         let mut gateways_recorded_at = self.clock.now();
+        let mut suspects_sent_at = gateways_recorded_at;
         loop {
             sleep(FLUSH_PERIOD).await;
             let now = self.clock.now();
             self.pauses().tick(now, self.clock.unix_ms());
             let addresses = self.log.addresses();
             let version = self.state_machine().policy_version();
+            let suspects_due = now.saturating_duration_since(suspects_sent_at) >= SUSPECTS_PERIOD;
+            let suspects = suspects_due && self.suspects_changed.swap(false, Ordering::AcqRel);
             let mut soft_state = self.soft_state();
+            if suspects {
+                suspects_sent_at = now;
+                soft_state.broadcast(replicated_part(&self.state_machine()));
+            }
             soft_state.flush(now, version);
             let gateways = soft_state.gateways();
             let due = now.saturating_duration_since(gateways_recorded_at) >= GATEWAYS_RECORD_PERIOD;
@@ -446,10 +465,9 @@
     let (old, new) = (blocks(before), blocks(machine));
     metrics::gauge!("crocustally_blocked_prompt_parts").set(new.len() as f64);
     let log = |(service, block): &(String, BlockedParts), message: &str| {
-        let parts: Vec<String> = block.parts.iter().map(|p| PromptPart(*p).to_string()).collect();
         log::warn!(
             service = service.as_str(),
-            parts = parts.join(",").as_str(),
+            parts = list_parts(&block.parts, ",").as_str(),
             since_ms = block.since_ms,
             endpoints = block.endpoints.join(",").as_str();
             "{message}"
--- a/crates/control/src/crash_reports.rs
+++ b/crates/control/src/crash_reports.rs
@@ -1,5 +1,7 @@
 //! [`CrashReports`]: reports of many gateways on crashing prompts, committed together.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -9,6 +11,7 @@
 use async_channel::Sender;
 use crocustally_core::Code;
 use crocustally_wire::CrashReport;
+use crocustally_wire::ServiceParts;
 use crocustally_wire::command::Kind;
 use event_listener::Event;
 
@@ -20,6 +23,16 @@
 /// Time for a batch to be committed, after which the gateways turn to another instance.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Parts of prompts in the reports of one batch: 1 MiB of the log.
+const BATCH_PARTS_MAX: usize = 131_072;
+
+/// Number of parts that a report names, each as often as it does.
+fn part_count(report: &CrashReport) -> usize {
+    let in_flight: usize =
+        report.ends.iter().flat_map(|e| &e.requests).map(|r| r.parts.len()).sum();
+    in_flight + report.sound.iter().map(|s| s.parts.len()).sum::<usize>()
+}
+
 /// A report and the gateway's call that waits for its commit.
 struct PendingReport {
     received_at: Instant,
@@ -35,6 +48,18 @@
 }
 
 impl CrashReports {
+    /// Takes the reports for the next batch, the oldest first: one at least, and [`BATCH_PARTS_MAX`] parts.
+    fn take_batch(&self) -> Vec<PendingReport> {
+        let mut pending = self.lock();
+        let mut parts = 0;
+        let fits = |p: &&PendingReport| {
+            parts += part_count(&p.report);
+            parts <= BATCH_PARTS_MAX
+        };
+        let count = pending.iter().take_while(fits).count().max(1).min(pending.len());
+        pending.drain(..count).collect()
+    }
+
     fn lock(&self) -> MutexGuard<'_, Vec<PendingReport>> {
         self.pending.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -62,7 +87,7 @@
                 added.await;
             }
             crocustally_net::sleep(BATCH_DELAY).await;
-            let batch = std::mem::take(&mut *self.crash_reports.lock());
+            let batch = self.crash_reports.take_batch();
             let report = self.merge(&batch);
             let committed = if report.ends.is_empty() && report.sound.is_empty() {
                 Ok(())
@@ -84,6 +109,7 @@
         let now = self.clock.now();
         let machine = self.state_machine();
         let evidence = machine.crash_evidence();
+        let mut sound: BTreeMap<&str, BTreeSet<u64>> = BTreeMap::new();
         let mut merged = CrashReport { at_ms: self.clock.unix_ms(), ..CrashReport::default() };
         for pending in batch {
             let age = now.saturating_duration_since(pending.received_at).as_millis() as u32;
@@ -95,13 +121,18 @@
                 }
                 merged.ends.push(end);
             }
-            for sound in &pending.report.sound {
+            for reported in &pending.report.sound {
                 // Many gateways report the same part as sound; one of them is enough.
-                if evidence.suspects_any(sound) && !merged.sound.contains(sound) {
-                    merged.sound.push(sound.clone());
-                }
+                let parts = sound.entry(reported.service.as_str()).or_default();
+                parts.extend(evidence.suspects_among(reported));
             }
         }
+        let sound = sound.into_iter().filter(|(_, parts)| !parts.is_empty());
+        let sound = sound.map(|(service, parts)| ServiceParts {
+            service: service.to_owned(),
+            parts: parts.into_iter().collect(),
+        });
+        merged.sound = sound.collect();
         merged
     }
 }
--- a/crates/core/src/control/crash_evidence.rs
+++ b/crates/core/src/control/crash_evidence.rs
@@ -7,13 +7,12 @@
 use crocustally_wire::BlockedParts;
 use crocustally_wire::EndState;
 use crocustally_wire::EndpointEnd;
-use crocustally_wire::PartEvidence;
+use crocustally_wire::GroupEvidence;
 use crocustally_wire::ServiceEvidence;
 use crocustally_wire::ServiceParts;
 use crocustally_wire::ServiceSuspects;
 use crocustally_wire::SuspectParts;
 use crocustally_wire::TrialRequest;
-use smallvec::SmallVec;
 
 use super::PromptPart;
 
@@ -25,13 +24,18 @@
 const ENDS_BEFORE_MIXED_BLOCK: usize = 4;
 /// Ends retained for each service; the oldest is dropped first. More than a region has endpoints.
 const ENDS_RETAINED: usize = 1024;
-/// Suspect parts retained for each service; those with the fewest ends are dropped first.
-const PARTS_RETAINED: usize = 4096;
+/// Suspect parts retained for each service; those with the fewest ends are dropped first. As many as 43
+/// prompts have that fill a head of 16 KiB, more than an endpoint runs at a time, so that nothing that was
+/// in flight at one end is dropped because of it.
+pub const PARTS_RETAINED: usize = 131_072;
 /// Blocks of each service. Each has cost three endpoints; while there are as many, no more are added, so
 /// that nobody can push out what is known.
 const BLOCKS_MAX: usize = 256;
-/// Suspect parts that gateways watch for sound answers, for each service.
-const PARTS_WATCHED: usize = 512;
+/// Suspect parts that gateways watch for sound answers, for each service: 512 KiB in a message to each.
+pub const PARTS_WATCHED: usize = 65_536;
+/// Ends whose parts gateways watch if they are the only ones under these parts. A part that was in flight at
+/// one end long ago is watched again from the next one on; most of them never come again.
+const ENDS_WATCHED: u64 = 16;
 
 /// Time in milliseconds from a block to its first trial; each further interval is
 /// [`TRIAL_INTERVAL_FACTOR`] times as long.
@@ -40,8 +44,12 @@
 /// Trials of a block, after which only an operator lifts it. Each may cost an endpoint.
 pub const TRIALS_MAX: u32 = 3;
 
-/// Short list of parts.
-type Parts = SmallVec<[PromptPart; 4]>;
+/// List of parts in ascending order, each once.
+type Parts = Vec<PromptPart>;
+
+/// Key of a [`Group`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct GroupKey(u64);
 
 /// Evidence on all services, replicated so that it survives any process.
 ///
@@ -49,8 +57,12 @@
 /// it, so every part of each is a suspect. A part stops being one as soon as an answer on it turns out
 /// sound. What is left after three independent ends is blocked, the part with the most ends first, and
 /// its ends no longer speak against the others. An end is independent of an earlier one if its requests
-/// were sent after that: endpoints that end together, such as those of a rack, have one cause. Parts that the evidence cannot tell apart, because they always
-/// came together, are blocked together: only requests with all of them are refused.
+/// were sent after that: endpoints that end together, such as those of a rack, have one cause. Parts that
+/// the evidence cannot tell apart, because they always came together, are blocked together: only requests
+/// with all of them are refused.
+///
+/// Parts that have come in the same requests so far form a group with one record of ends. So the evidence
+/// grows with the number of parts, and not with its square, however long prompts are.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashEvidence {
     services: BTreeMap<String, Evidence>,
@@ -63,7 +75,9 @@
     ends_seen: u64,
     /// Number of reports, which orders parts by age.
     reports: u64,
-    suspects: BTreeMap<PromptPart, Suspect>,
+    groups: BTreeMap<GroupKey, Group>,
+    group_of: BTreeMap<PromptPart, GroupKey>,
+    groups_seen: u64,
     blocks: Vec<Block>,
 }
 
@@ -76,13 +90,13 @@
     noticed_ms: u64,
 }
 
-/// A part under which endpoints have ended since its last sound answer.
+/// Parts under which endpoints have ended since their last sound answer, and which have come in the same
+/// requests.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-struct Suspect {
-    /// Numbers of the ends, and when the first request with the part was sent to each endpoint.
+struct Group {
+    parts: Parts,
+    /// Numbers of the ends, and when the first request with the parts was sent to each endpoint.
     ends: BTreeMap<u64, u64>,
-    /// Parts that were in every request that the part was in.
-    companions: Parts,
     reported_at: u64,
 }
 
@@ -105,7 +119,7 @@
     /// Clears parts on which an answer has turned out sound.
     pub fn record_sound(&mut self, sound: &ServiceParts) {
         if let Some(evidence) = self.services.get_mut(&sound.service) {
-            sound.parts.iter().for_each(|p| evidence.clear(PromptPart(*p)));
+            evidence.clear(to_parts(&sound.parts));
         }
     }
 
@@ -113,8 +127,8 @@
     /// whether it was refused.
     pub fn lift(&mut self, service: &str, part: PromptPart) -> bool {
         let Some(evidence) = self.services.get_mut(service) else { return false };
-        let blocked = evidence.blocks.iter().any(|b| b.parts.contains(&part));
-        evidence.clear(part);
+        let blocked = evidence.blocks.iter().any(|b| b.has(part));
+        evidence.clear(vec![part]);
         blocked
     }
 
@@ -135,11 +149,19 @@
         due
     }
 
-    /// Whether a part of these is suspected or blocked.
-    pub fn suspects_any(&self, sound: &ServiceParts) -> bool {
-        self.services
-            .get(&sound.service)
-            .is_some_and(|evidence| sound.parts.iter().any(|p| evidence.concerns(PromptPart(*p))))
+    /// Those of some parts that are suspected or blocked.
+    pub fn suspects_among(&self, sound: &ServiceParts) -> Vec<u64> {
+        let Some(evidence) = self.services.get(&sound.service) else { return Vec::new() };
+        sound.parts.iter().copied().filter(|p| evidence.concerns(PromptPart(*p))).collect()
+    }
+
+    /// Whether the same requests are refused.
+    pub fn has_same_blocks(&self, other: &Self) -> bool {
+        let blocks = |e: &Self| -> Vec<(String, Vec<Block>)> {
+            let blocked = e.services.iter().filter(|(_, e)| !e.blocks.is_empty());
+            blocked.map(|(service, e)| (service.clone(), e.blocks.clone())).collect()
+        };
+        blocks(self) == blocks(other)
     }
 
     /// What gateways watch and refuse.
@@ -167,20 +189,17 @@
     fn record_end(&mut self, at_ms: u64, end: &EndpointEnd) {
         self.reports += 1;
         let number = self.end_number(at_ms, end);
-        let requests: Vec<Parts> =
-            end.requests.iter().map(|r| r.parts.iter().map(|p| PromptPart(*p)).collect()).collect();
+        let requests: Vec<Parts> = end.requests.iter().map(|r| to_parts(&r.parts)).collect();
         let sent = end.requests.iter().map(|r| at_ms.saturating_sub(u64::from(r.sent_ago_ms)));
         let explained_by = self.blocked_in(&requests).or_else(|| self.explanation(number));
         if let Some(guilty) = &explained_by {
             self.explain(number, guilty);
         }
-        for (parts, sent_ms) in requests.iter().zip(sent) {
-            for part in parts {
-                let explained = explained_by.as_ref().is_some_and(|guilty| !guilty.contains(part));
-                if !explained {
-                    self.add(number, sent_ms, *part, parts);
-                }
+        for (mut parts, sent_ms) in requests.into_iter().zip(sent) {
+            if let Some(guilty) = &explained_by {
+                parts.retain(|part| guilty.binary_search(part).is_ok());
             }
+            self.add(number, sent_ms, parts);
         }
         self.drop_excess();
         self.update_blocks(at_ms);
@@ -200,15 +219,53 @@
         number
     }
 
-    fn add(&mut self, number: u64, sent_ms: u64, part: PromptPart, request: &[PromptPart]) {
-        let others = request.iter().copied().filter(|p| *p != part);
+    /// Adds an end to the parts of a request, which leave the groups that have other parts too.
+    fn add(&mut self, number: u64, sent_ms: u64, parts: Parts) {
+        let mut touched: BTreeMap<GroupKey, Parts> = BTreeMap::new();
+        let mut new = Parts::new();
+        for part in parts {
+            match self.group_of.get(&part) {
+                Some(key) => touched.entry(*key).or_default().push(part),
+                None => new.push(part),
+            }
+        }
+        let mut keys: Vec<GroupKey> =
+            touched.into_iter().map(|(key, parts)| self.split_off(key, parts)).collect();
+        if !new.is_empty() {
+            keys.push(self.insert(Group { parts: new, ..Group::default() }));
+        }
         let reported_at = self.reports;
-        let new = || Suspect { companions: others.clone().collect(), ..Suspect::default() };
-        let suspect = self.suspects.entry(part).or_insert_with(new);
-        suspect.companions.retain(|p| request.contains(p));
-        let first_sent_ms = suspect.ends.entry(number).or_insert(sent_ms);
-        *first_sent_ms = sent_ms.min(*first_sent_ms);
-        suspect.reported_at = reported_at;
+        for key in keys {
+            let Some(group) = self.groups.get_mut(&key) else { continue };
+            let first_sent_ms = group.ends.entry(number).or_insert(sent_ms);
+            *first_sent_ms = sent_ms.min(*first_sent_ms);
+            group.reported_at = reported_at;
+        }
+    }
+
+    fn insert(&mut self, group: Group) -> GroupKey {
+        self.groups_seen += 1;
+        let key = GroupKey(self.groups_seen);
+        self.group_of.extend(group.parts.iter().map(|part| (*part, key)));
+        self.groups.insert(key, group);
+        key
+    }
+
+    /// Makes `parts` of a group a group of their own; returns its key.
+    fn split_off(&mut self, key: GroupKey, parts: Parts) -> GroupKey {
+        let Some(group) = self.groups.get_mut(&key) else { return key };
+        if group.parts.len() == parts.len() {
+            return key;
+        }
+        group.parts.retain(|part| parts.binary_search(part).is_err());
+        let (ends, reported_at) = (group.ends.clone(), group.reported_at);
+        self.insert(Group { parts, ends, reported_at })
+    }
+
+    fn remove(&mut self, key: GroupKey) {
+        for part in self.groups.remove(&key).unwrap_or_default().parts {
+            self.group_of.remove(&part);
+        }
     }
 
     /// The parts of a block that a request of the list is refused by.
@@ -219,41 +276,62 @@
 
     /// Parts whose block explains an end; `None` if the end has no explanation yet.
     fn explanation(&self, number: u64) -> Option<Parts> {
-        let under =
-            |p: &PromptPart| self.suspects.get(p).is_some_and(|s| s.ends.contains_key(&number));
+        let group = |p: &PromptPart| self.groups.get(self.group_of.get(p)?);
+        let under = |p: &PromptPart| group(p).is_some_and(|g| g.ends.contains_key(&number));
         self.blocks.iter().find(|b| b.parts.iter().all(under)).map(|b| b.parts.clone())
     }
 
     /// Removes an end from all parts but those that explain it.
     fn explain(&mut self, number: u64, guilty: &[PromptPart]) {
-        self.suspects.retain(|part, suspect| {
-            if !guilty.contains(part) {
-                suspect.ends.remove(&number);
+        let under = self.groups.iter().filter(|(_, g)| g.ends.contains_key(&number));
+        let under: Vec<(GroupKey, Parts)> = under
+            .map(|(key, g)| {
+                let is_guilty = |p: &PromptPart| guilty.binary_search(p).is_ok();
+                (*key, g.parts.iter().copied().filter(is_guilty).collect())
+            })
+            .collect();
+        for (key, guilty) in under {
+            if !guilty.is_empty() && self.split_off(key, guilty) == key {
+                continue;
             }
-            !suspect.ends.is_empty()
-        });
+            let Some(group) = self.groups.get_mut(&key) else { continue };
+            group.ends.remove(&number);
+            if group.ends.is_empty() {
+                self.remove(key);
+            }
+        }
     }
 
-    fn clear(&mut self, part: PromptPart) {
-        self.suspects.remove(&part);
+    /// Forgets all ends under these parts, and their blocks.
+    fn clear(&mut self, parts: Parts) {
         for block in &mut self.blocks {
-            block.parts.retain(|p| *p != part);
+            block.parts.retain(|p| parts.binary_search(p).is_err());
         }
         self.blocks.retain(|b| !b.parts.is_empty());
+        let mut cleared: BTreeMap<GroupKey, Parts> = BTreeMap::new();
+        for part in parts {
+            if let Some(key) = self.group_of.get(&part) {
+                cleared.entry(*key).or_default().push(part);
+            }
+        }
+        for (key, parts) in cleared {
+            let own = self.split_off(key, parts);
+            self.remove(own);
+        }
     }
 
     fn concerns(&self, part: PromptPart) -> bool {
-        self.suspects.contains_key(&part) || self.blocks.iter().any(|b| b.parts.contains(&part))
+        self.group_of.contains_key(&part) || self.blocks.iter().any(|b| b.has(part))
     }
 
-    /// Number of ends under a part that cannot have one cause besides the part: each one's requests
+    /// Number of ends under a group that cannot have one cause besides its parts: each one's requests
     /// were sent after the one before was noticed.
-    fn independent_ends(&self, suspect: &Suspect) -> usize {
+    fn independent_ends(&self, group: &Group) -> usize {
         let end = |(number, sent_ms): (&u64, &u64)| {
             let end = self.ends.iter().find(|e| e.number == *number)?;
             Some((end.noticed_ms, *sent_ms))
         };
-        let mut ends: Vec<(u64, u64)> = suspect.ends.iter().filter_map(end).collect();
+        let mut ends: Vec<(u64, u64)> = group.ends.iter().filter_map(end).collect();
         ends.sort();
         let mut last_noticed_ms = None;
         let mut count = 0;
@@ -266,57 +344,40 @@
         count
     }
 
-    /// Independent ends after which a part is blocked.
-    fn ends_needed(&self, suspect: &Suspect) -> usize {
-        let numbers = (suspect.ends.first_key_value(), suspect.ends.last_key_value());
+    /// Independent ends after which a group is blocked.
+    fn ends_needed(&self, group: &Group) -> usize {
+        let numbers = (group.ends.first_key_value(), group.ends.last_key_value());
         let (Some((first, _)), Some((last, _))) = numbers else { return ENDS_BEFORE_BLOCK };
         let mut between = self.ends.iter().filter(|e| (first..=last).contains(&&e.number));
         let elsewhere =
-            |e: &End| !suspect.ends.contains_key(&e.number) && self.explanation(e.number).is_none();
+            |e: &End| !group.ends.contains_key(&e.number) && self.explanation(e.number).is_none();
         if between.any(elsewhere) { ENDS_BEFORE_MIXED_BLOCK } else { ENDS_BEFORE_BLOCK }
     }
 
-    /// The part and those companions that the evidence cannot tell from it.
-    fn indistinguishable(&self, part: PromptPart, suspect: &Suspect) -> Parts {
-        let same = |p: &PromptPart| {
-            self.suspects.get(p).is_some_and(|s| s.ends.keys().eq(suspect.ends.keys()))
-        };
-        let mut parts: Parts = suspect.companions.iter().copied().filter(same).collect();
-        parts.push(part);
-        parts.sort();
-        parts
-    }
-
-    /// Blocks the parts that the evidence suffices for, those with the most ends first.
+    /// Blocks the groups that the evidence suffices for, those with the most ends first.
     fn update_blocks(&mut self, at_ms: u64) {
-        while let Some((part, parts)) = self.next_block() {
-            let suspect = self.suspects.get(&part);
-            let ends: BTreeSet<u64> =
-                suspect.map(|s| s.ends.keys().copied().collect()).unwrap_or_default();
-            let under = self.ends.iter().filter(|e| ends.contains(&e.number));
+        while let Some(group) = self.next_block().cloned() {
+            let under = self.ends.iter().filter(|e| group.ends.contains_key(&e.number));
             let endpoints = under.map(|e| e.endpoint.clone()).collect();
+            let parts = group.parts;
             // Only blocks that the new one makes superfluous are removed, so the loop ends.
-            self.blocks.retain(|b| !parts.iter().all(|p| b.parts.contains(p)));
+            self.blocks.retain(|b| !parts.iter().all(|p| b.has(*p)));
             if self.blocks.len() >= BLOCKS_MAX {
                 return;
             }
-            for number in ends {
+            for number in group.ends.into_keys() {
                 self.explain(number, &parts);
             }
             self.blocks.push(Block { parts, since_ms: at_ms, endpoints, trials: 0 });
         }
     }
 
-    /// The part to block next, with those that cannot be told from it.
-    fn next_block(&self) -> Option<(PromptPart, Parts)> {
-        let due = self.suspects.iter().filter(|(_, s)| s.ends.len() >= ENDS_BEFORE_BLOCK);
-        let due = due.filter(|(_, s)| self.independent_ends(s) >= self.ends_needed(s));
-        let undecided = due.filter_map(|(part, suspect)| {
-            let parts = self.indistinguishable(*part, suspect);
-            let decided = self.blocks.iter().any(|b| b.matches(&parts) && b.parts.contains(part));
-            (!decided).then_some((suspect.ends.len(), *part, parts))
-        });
-        undecided.max_by_key(|(ends, part, _)| (*ends, *part)).map(|(_, part, parts)| (part, parts))
+    /// The group to block next.
+    fn next_block(&self) -> Option<&Group> {
+        let due = self.groups.values().filter(|g| g.ends.len() >= ENDS_BEFORE_BLOCK);
+        let due = due.filter(|g| self.independent_ends(g) >= self.ends_needed(g));
+        let undecided = due.filter(|g| !self.blocks.iter().any(|b| b.matches(&g.parts)));
+        undecided.max_by_key(|g| (g.ends.len(), g.parts.last().copied()))
     }
 
     fn drop_excess(&mut self) {
@@ -324,18 +385,27 @@
             let Some(oldest) = self.ends.pop_front() else { break };
             self.explain(oldest.number, &[]);
         }
-        while self.suspects.len() > PARTS_RETAINED {
-            let weakest = self.suspects.iter().min_by_key(|(_, s)| (s.ends.len(), s.reported_at));
-            let Some(part) = weakest.map(|(p, _)| *p) else { break };
-            self.suspects.remove(&part);
+        if self.group_of.len() <= PARTS_RETAINED {
+            return;
+        }
+        let strength = |(key, g): (&GroupKey, &Group)| (g.ends.len(), g.reported_at, *key);
+        let mut weakest_first: Vec<_> = self.groups.iter().map(strength).collect();
+        weakest_first.sort_unstable();
+        for (_, _, key) in weakest_first {
+            if self.group_of.len() <= PARTS_RETAINED {
+                return;
+            }
+            self.remove(key);
         }
     }
 
     fn published(&self, service: String) -> ServiceSuspects {
-        let mut watched: Vec<_> = self.suspects.iter().collect();
-        watched.sort_by_key(|(_, s)| std::cmp::Reverse((s.ends.len(), s.reported_at)));
-        let mut suspects: BTreeSet<u64> =
-            watched.iter().take(PARTS_WATCHED).map(|(p, _)| p.0).collect();
+        let recent = |g: &&Group| g.ends.keys().any(|n| n + ENDS_WATCHED > self.ends_seen);
+        let mut watched: Vec<_> =
+            self.groups.values().filter(|g| g.ends.len() > 1 || recent(g)).collect();
+        watched.sort_by_key(|g| std::cmp::Reverse((g.ends.len(), g.reported_at)));
+        let parts = watched.into_iter().flat_map(|g| &g.parts).take(PARTS_WATCHED);
+        let mut suspects: BTreeSet<u64> = parts.map(|p| p.0).collect();
         suspects.extend(self.blocks.iter().flat_map(|b| b.parts.iter().map(|p| p.0)));
         let blocked = self.blocks.iter().map(Block::to_wire).collect();
         ServiceSuspects { service, suspects: suspects.into_iter().collect(), blocked }
@@ -348,56 +418,86 @@
             number: e.number,
             noticed_ms: e.noticed_ms,
         };
-        let part = |(part, s): (&PromptPart, &Suspect)| PartEvidence {
-            part: part.0,
-            ends: s.ends.keys().copied().collect(),
-            sent_ms: s.ends.values().copied().collect(),
-            companions: s.companions.iter().map(|p| p.0).collect(),
-            reported_at: s.reported_at,
+        let group = |(key, g): (&GroupKey, &Group)| GroupEvidence {
+            key: key.0,
+            parts: g.parts.iter().map(|p| p.0).collect(),
+            ends: g.ends.keys().copied().collect(),
+            sent_ms: g.ends.values().copied().collect(),
+            reported_at: g.reported_at,
         };
         ServiceEvidence {
             service,
             ends_seen: self.ends_seen,
             reports: self.reports,
             ends: self.ends.iter().map(end).collect(),
-            parts: self.suspects.iter().map(part).collect(),
+            parts: Vec::new(),
             blocked: self.blocks.iter().map(Block::to_wire).collect(),
+            groups: self.groups.iter().map(group).collect(),
+            groups_seen: self.groups_seen,
         }
     }
 
     fn import(state: ServiceEvidence) -> Self {
-        let to_parts = |numbers: Vec<u64>| numbers.into_iter().map(PromptPart).collect::<Parts>();
         let end = |e: EndState| End {
             number: e.number,
             endpoint: e.endpoint,
             born_ms: e.born_ms,
             noticed_ms: e.noticed_ms,
         };
-        let suspect = |p: PartEvidence| {
-            let ends = p.ends.into_iter().zip(p.sent_ms).collect();
-            let companions = to_parts(p.companions);
-            (PromptPart(p.part), Suspect { ends, companions, reported_at: p.reported_at })
-        };
         let block = |b: BlockedParts| Block {
-            parts: to_parts(b.parts),
+            parts: to_parts(&b.parts),
             since_ms: b.since_ms,
             endpoints: b.endpoints,
             trials: b.trials,
         };
-        Self {
+        let mut out = Self {
             ends: state.ends.into_iter().map(end).collect(),
             ends_seen: state.ends_seen,
             reports: state.reports,
-            suspects: state.parts.into_iter().map(suspect).collect(),
             blocks: state.blocked.into_iter().map(block).collect(),
+            ..Self::default()
+        };
+        for g in state.groups {
+            let (key, parts) = (GroupKey(g.key), to_parts(&g.parts));
+            out.group_of.extend(parts.iter().map(|part| (*part, key)));
+            let ends = g.ends.into_iter().zip(g.sent_ms).collect();
+            out.groups.insert(key, Group { parts, ends, reported_at: g.reported_at });
+        }
+        out.groups_seen = state.groups_seen;
+        // Of an earlier release, which kept each part by itself. Those that it could not tell apart always came
+        // together.
+        for p in &state.parts {
+            let same = state.parts.iter().filter(|q| {
+                q.ends == p.ends && p.companions.contains(&q.part) && q.companions.contains(&p.part)
+            });
+            let mut parts: Parts = same.map(|q| PromptPart(q.part)).collect();
+            parts.push(PromptPart(p.part));
+            parts.sort();
+            if !out.group_of.contains_key(&PromptPart(p.part)) {
+                let ends = p.ends.iter().copied().zip(p.sent_ms.iter().copied()).collect();
+                out.insert(Group { parts, ends, reported_at: p.reported_at });
+            }
         }
+        out
     }
 }
 
+/// The parts of a message, each once.
+fn to_parts(numbers: &[u64]) -> Parts {
+    let mut parts: Parts = numbers.iter().copied().map(PromptPart).collect();
+    parts.sort_unstable();
+    parts.dedup();
+    parts
+}
+
 impl Block {
-    /// Whether a request with these parts is refused.
+    /// Whether a request with these parts, in ascending order, is refused.
     fn matches(&self, parts: &[PromptPart]) -> bool {
-        self.parts.iter().all(|p| parts.contains(p))
+        self.parts.iter().all(|p| parts.binary_search(p).is_ok())
+    }
+
+    fn has(&self, part: PromptPart) -> bool {
+        self.parts.binary_search(&part).is_ok()
     }
 
     fn to_wire(&self) -> BlockedParts {
--- a/crates/core/src/control/part_filter.rs
+++ b/crates/core/src/control/part_filter.rs
@@ -5,8 +5,8 @@
 
 use crocustally_wire::ServiceSuspects;
 use crocustally_wire::SuspectParts;
-use smallvec::SmallVec;
 
+use super::PartSet;
 use super::PromptPart;
 
 /// Parts that a gateway watches for sound answers, and those whose requests it refuses.
@@ -19,20 +19,21 @@
 struct ServiceFilter {
     suspects: HashSet<PromptPart>,
     /// Requests with all parts of one of these are refused.
-    blocked: Vec<SmallVec<[PromptPart; 4]>>,
+    blocked: Vec<PartSet>,
 }
 
 impl PartFilter {
     /// The blocked parts by which a request to a service is refused, if it has all of a block.
-    pub fn blocked(&self, service: &str, parts: &[PromptPart]) -> Option<&[PromptPart]> {
-        let filter = self.services.get(service)?;
-        let block = filter.blocked.iter().find(|b| b.iter().all(|p| parts.contains(p)))?;
-        Some(&block[..])
+    pub fn blocked(&self, service: &str, parts: &PartSet) -> Option<&PartSet> {
+        self.services.get(service)?.blocked.iter().find(|block| parts.has_all(block))
     }
 
     /// The suspects among the parts of a request.
-    pub fn suspects(&self, service: &str, parts: &[PromptPart]) -> SmallVec<[PromptPart; 4]> {
-        let Some(filter) = self.services.get(service) else { return SmallVec::new() };
+    pub fn suspects(&self, service: &str, parts: &PartSet) -> Vec<PromptPart> {
+        let Some(filter) = self.services.get(service) else { return Vec::new() };
+        if filter.suspects.is_empty() {
+            return Vec::new();
+        }
         parts.iter().copied().filter(|p| filter.suspects.contains(p)).collect()
     }
 
@@ -45,12 +46,11 @@
 impl From<&SuspectParts> for PartFilter {
     fn from(parts: &SuspectParts) -> Self {
         let filter = |s: &ServiceSuspects| {
-            let to_parts = |numbers: &[u64]| numbers.iter().copied().map(PromptPart).collect();
             // A block without parts would match every request.
             let blocked = s.blocked.iter().filter(|b| !b.parts.is_empty());
             ServiceFilter {
                 suspects: s.suspects.iter().copied().map(PromptPart).collect(),
-                blocked: blocked.map(|b| to_parts(&b.parts)).collect(),
+                blocked: blocked.map(|b| PartSet::from(&b.parts[..])).collect(),
             }
         };
         let services = parts.services.iter().map(|s| (s.service.clone(), filter(s)));
--- a/crates/core/src/control/prompt_part.rs
+++ b/crates/core/src/control/prompt_part.rs
@@ -17,6 +17,20 @@
     }
 }
 
+/// Parts that a list for people names.
+const PARTS_LISTED: usize = 8;
+
+/// Names the first of some parts, and how many there are besides.
+pub fn list_parts(numbers: &[u64], separator: &str) -> String {
+    let named: Vec<_> =
+        numbers.iter().take(PARTS_LISTED).map(|p| PromptPart(*p).to_string()).collect();
+    let mut out = named.join(separator);
+    if numbers.len() > PARTS_LISTED {
+        out += &format!("{separator}{} more", numbers.len() - PARTS_LISTED);
+    }
+    out
+}
+
 impl fmt::Display for PromptPart {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:x}", self.0)
--- a/crates/core/tests/crash_evidence.rs
+++ b/crates/core/tests/crash_evidence.rs
@@ -8,11 +8,16 @@
 use crocustally_core::control::CrashEvidence;
 use crocustally_core::control::ENDS_BEFORE_BLOCK;
 use crocustally_core::control::FIRST_TRIAL_AFTER_MS;
+use crocustally_core::control::PARTS_RETAINED;
 use crocustally_core::control::PartFilter;
+use crocustally_core::control::PartSet;
 use crocustally_core::control::PromptPart;
 use crocustally_core::control::TRIALS_MAX;
+use crocustally_wire::EndState;
 use crocustally_wire::EndpointEnd;
+use crocustally_wire::PartEvidence;
 use crocustally_wire::PromptParts;
+use crocustally_wire::ServiceEvidence;
 use crocustally_wire::ServiceParts;
 use crocustally_wire::TrialRequest;
 use prost::Message;
@@ -44,7 +49,7 @@
 }
 
 fn refuses(evidence: &CrashEvidence, parts: &[u64]) -> bool {
-    let parts: Vec<_> = parts.iter().copied().map(PromptPart).collect();
+    let parts = PartSet::from(parts);
     PartFilter::from(&evidence.suspect_parts()).blocked(SERVICE, &parts).is_some()
 }
 
@@ -210,9 +215,11 @@
     record(&mut evidence, 0, &[&[&[7, 1]], &[&[7, 2]], &[&[7, 3]]]);
     record(&mut evidence, 60_000, &[&[&[8, 4]], &[&[8, 5]]]);
     let mut largest = 0;
+    let (requests_in_flight, parts_each) = (12, 16);
     for n in 0..1000_u64 {
-        let requests: Vec<Vec<u64>> =
-            (0..12).map(|r| (0..16).map(|p| 1_000_000 + n * 1000 + r * 16 + p).collect()).collect();
+        let requests: Vec<Vec<u64>> = (0..requests_in_flight)
+            .map(|r| (0..parts_each).map(|p| 1_000_000 + n * 1000 + r * 16 + p).collect())
+            .collect();
         let requests: Vec<&[u64]> = requests.iter().map(Vec::as_slice).collect();
         evidence.record_end(200_000 + n * 2000, &end(&format!("f{n}"), n, &requests));
         let published = evidence.suspect_parts();
@@ -227,8 +234,112 @@
         state.encoded_len(),
         evidence.suspect_parts().encoded_len()
     );
-    assert!(state.parts.len() <= 4096 && state.ends.len() <= 1024);
-    assert!(largest <= 512 + 2, "{largest} parts are sent to each gateway");
+    let parts: usize = state.groups.iter().map(|g| g.parts.len()).sum();
+    assert!(parts <= PARTS_RETAINED && state.ends.len() <= 1024);
+    // A snapshot grows with the parts and not with their square: 8 bytes for each, and what groups of 16 share.
+    assert!(state.encoded_len() <= 12 * parts + 64 * state.ends.len(), "{parts} parts");
+    // Gateways watch the parts of the last ends, and those with several.
+    let watched = 16 * requests_in_flight * parts_each + 2 + 2;
+    assert!(largest <= watched as usize, "{largest} parts are sent to each gateway");
+}
+
+/// Guards against BUDGET in long prompts (review case 14): no part may be out of sight because of its place or of
+/// how many others were in flight, and evidence must grow with their number, not with its square.
+#[test]
+fn crashing_part_among_thousands_is_found_and_the_others_are_cleared() {
+    const CRASHING: u64 = 7;
+    for (length, in_flight) in [(4, 12), (100, 12), (1000, 12), (3000, 40)] {
+        // Most parts are those of all prompts, some only of the request or of those of a few.
+        let shared: Vec<u64> = (0..length / 2).map(|n| 1_000_000 + n).collect();
+        let prompt = |end: u64, request: u64| -> Vec<u64> {
+            let own =
+                (0..length - length / 2).map(|n| 10_000_000 + (end * 64 + request) * 4096 + n);
+            shared.iter().copied().chain(own).collect()
+        };
+        let mut evidence = CrashEvidence::default();
+        let mut largest = 0;
+        for end_number in 0..ENDS_BEFORE_BLOCK as u64 {
+            let mut requests: Vec<Vec<u64>> =
+                (0..in_flight).map(|request| prompt(end_number, request)).collect();
+            let place = requests[0].len() - 1;
+            requests[0].insert(place, CRASHING);
+            let requests: Vec<&[u64]> = requests.iter().map(Vec::as_slice).collect();
+            let at = end_number * 10_000;
+            evidence.record_end(at, &end(&format!("e{at}"), at, &requests));
+            let published = evidence.suspect_parts();
+            largest = largest.max(published.encoded_len());
+            let watched: BTreeSet<u64> = published.services[0].suspects.iter().copied().collect();
+            if end_number + 1 < ENDS_BEFORE_BLOCK as u64 {
+                let in_flight = requests.iter().flat_map(|r| r.iter());
+                assert!(
+                    in_flight.into_iter().all(|p| watched.contains(p)),
+                    "{length}: not watched"
+                );
+                evidence.record_sound(&sound(&shared));
+            }
+        }
+        let state = &evidence.export()[0];
+        let parts: usize = state.groups.iter().map(|g| g.parts.len()).sum();
+        println!(
+            "prompts of {length} parts, {in_flight} in flight: {parts} suspects, {} bytes in a snapshot, {largest} to a gateway",
+            state.encoded_len()
+        );
+        assert!(state.encoded_len() <= 10 * parts + 64 * state.groups.len() + 1024);
+        assert!(refuses(&evidence, &[CRASHING]), "{length}: not blocked");
+        assert!(!refuses(&evidence, &shared), "{length}: sound requests are refused");
+        assert!(!refuses(&evidence, &prompt(1, 1)), "{length}: a request in flight is blamed");
+    }
+}
+
+/// Guards against a block that names a thousand parts where fewer are known to be at fault, and against one that
+/// is lost: parts that always came together are told apart by the first request without one of them.
+#[test]
+fn block_of_a_long_prompt_shrinks_with_what_turns_out_sound() {
+    let leading: Vec<u64> = (100..1100).collect();
+    let with = |last: u64| -> Vec<u64> { leading.iter().copied().chain([7, last]).collect() };
+    let requests: Vec<Vec<u64>> = (0..3).map(|n| with(5000 + n)).collect();
+    let mut evidence = CrashEvidence::default();
+    for (n, request) in requests.iter().enumerate() {
+        record(&mut evidence, n as u64 * 10_000, &[&[request]]);
+    }
+    assert!(refuses(&evidence, &with(1)));
+    assert!(!refuses(&evidence, &leading) && !refuses(&evidence, &[7]));
+    let restored = CrashEvidence::import(evidence.export());
+    assert_eq!(restored, evidence);
+    evidence.record_sound(&sound(&leading));
+    assert_eq!(evidence.suspect_parts().services[0].blocked[0].parts, [7]);
+    assert!(refuses(&evidence, &[7]) && !refuses(&evidence, &leading));
+}
+
+/// Guards against evidence that an upgrade loses: releases before kept each part by itself.
+#[test]
+fn evidence_of_an_earlier_release_is_read() {
+    let part = |part, ends: &[u64], companions: &[u64]| PartEvidence {
+        part,
+        ends: ends.to_vec(),
+        sent_ms: ends.iter().map(|n| n * 10_000).collect(),
+        companions: companions.to_vec(),
+        reported_at: 1,
+    };
+    let ends = (1..=2).map(|number| EndState {
+        endpoint: format!("e{number}"),
+        born_ms: number,
+        number,
+        noticed_ms: number * 10_000 + 100,
+    });
+    let state = ServiceEvidence {
+        service: SERVICE.to_owned(),
+        ends_seen: 2,
+        reports: 2,
+        ends: ends.collect(),
+        parts: vec![part(1, &[1, 2], &[7]), part(7, &[1, 2], &[1]), part(9, &[2], &[1, 7])],
+        ..ServiceEvidence::default()
+    };
+    let mut evidence = CrashEvidence::import(vec![state]);
+    record(&mut evidence, 90_000, &[&[&[7, 8]]]);
+    assert!(
+        refuses(&evidence, &[7, 2]) && !refuses(&evidence, &[1, 2]) && !refuses(&evidence, &[9])
+    );
 }
 
 /// Guards against evidence that never settles: whatever parts come together, in whatever order.
@@ -382,7 +493,7 @@
     /// Sends a request to the endpoint with the fewest; returns whether its gateway serves it.
     fn send(&mut self, now: u64, parts: Vec<u64>) -> bool {
         let gateway = self.rng.random_range(0..self.gateways);
-        let typed: Vec<_> = parts.iter().copied().map(PromptPart).collect();
+        let typed = PartSet::from(&parts[..]);
         if self.filters[gateway].blocked(SERVICE, &typed).is_some() {
             return false;
         }
@@ -425,7 +536,7 @@
                     r.start + ANSWER > now
                 });
                 let sound = sound(&answered);
-                if self.evidence.suspects_any(&sound) {
+                if !self.evidence.suspects_among(&sound).is_empty() {
                     self.evidence.record_sound(&sound);
                 }
                 continue;
--- a/crates/daemons/tests/crashing_parts.rs
+++ b/crates/daemons/tests/crashing_parts.rs
@@ -120,6 +120,8 @@
     next_id: usize,
     /// Requests a second with the part, over all gateways.
     crashing_rate: f64,
+    /// Shared parts of all prompts before the others.
+    leading: usize,
 }
 
 impl Traffic {
@@ -134,6 +136,7 @@
             position,
             next_id: 0,
             crashing_rate: 0.0,
+            leading: 0,
         }
     }
 
@@ -145,6 +148,7 @@
         if crashing {
             parts.insert(self.position, PART.to_owned());
         }
+        parts.splice(0..0, (0..self.leading).map(|n| format!("c{n:x}")));
         parts.push(format!("0{}", self.next_id));
         let prefix = parts.iter().map(|p| format!("{p}:100")).collect::<Vec<_>>().join(",");
         let to = self.gateways[self.rng.random_range(0..self.gateways.len())];
@@ -264,12 +268,14 @@
     gateways: usize,
     end: End,
     crashing_rate: f64,
+    leading: usize,
 ) -> Result<String, String> {
     let Started { mut d, arrivals, endpoints: _endpoints } =
         start(rt, seed, gateways, end, |_| Vec::new()).await;
     let mut traffic = Traffic::new(rt, (0..gateways).map(|i| d.gateway(i)).collect(), seed);
     traffic.crashing_rate = crashing_rate;
-    let position = traffic.position;
+    traffic.leading = leading;
+    let position = leading + traffic.position;
     let calm_from = Instant::now();
     traffic.run(CALM, false).await;
     let calm_to = Instant::now();
@@ -314,6 +320,11 @@
 
 /// Runs all seeds of `CRASH_SEEDS`, or one for each look of an end.
 fn run_seeds(ends: &[End], crashing_rate: f64) {
+    run_seeds_with(ends, crashing_rate, 0);
+}
+
+/// The same with prompts that begin with this number of parts.
+fn run_seeds_with(ends: &[End], crashing_rate: f64, leading: usize) {
     let _turn = wait_for_turn();
     let seeds = std::env::var("CRASH_SEEDS").map_or(0..ends.len() as u64, |text| {
         match text.split_once("..") {
@@ -326,7 +337,7 @@
     let mut failed = Vec::new();
     for seed in seeds {
         let end = ends[seed as usize % ends.len()];
-        match async_io::block_on(run_seed(&rt, seed, gateways, end, crashing_rate)) {
+        match async_io::block_on(run_seed(&rt, seed, gateways, end, crashing_rate, leading)) {
             Ok(line) => println!("{line}"),
             Err(line) => {
                 println!("{line}");
@@ -344,6 +355,15 @@
     run_seeds(&[End::Reset, End::MidEvent, End::Replaced], CRASHING_RATE);
 }
 
+/// The same with a part far behind in a long prompt (review case 14): gateways looked at the first 16, and
+/// control instances kept 512 of the parts that were in flight at an end.
+#[test]
+fn crashing_part_of_a_long_prompt_is_refused() {
+    for leading in [18, 1000] {
+        run_seeds_with(&[End::Reset], CRASHING_RATE, leading);
+    }
+}
+
 /// The same with endpoints that end in silence, which takes longer to notice.
 #[test]
 fn crashing_part_is_refused_when_endpoints_end_in_silence() {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crocustally_core::Code;
-use crocustally_core::control::PromptPart;
+use crocustally_core::control::PartSet;
 use crocustally_core::dispatch::SizedPart;
 use crocustally_core::traffic::PolicyError;
 use crocustally_core::traffic::TrafficPolicy;
@@ -31,16 +31,15 @@
     pub max_response_tokens: u32,
     /// Last event of the stream that the caller has received.
     pub last_event_id: Option<u64>,
-    /// Parts of the prompt that other requests may share, at most [`SHARED_PARTS_MAX`]; empty if
-    /// unknown.
-    pub shared_parts: SmallVec<[PromptPart; 4]>,
-    /// Leading parts of the prompt in order, with their lengths, at most [`SHARED_PARTS_MAX`]. The last
-    /// part of the prompt, which belongs to the request or its session, is among them.
+    /// Parts of the prompt that other requests may share; empty if unknown.
+    pub shared_parts: PartSet,
+    /// Leading parts of the prompt in order, with their lengths, at most [`SIZED_PARTS_MAX`]. The last
+    /// part of the prompt, which belongs to the request or its session, may be among them.
     pub prompt: SmallVec<[SizedPart; 4]>,
 }
 
-/// Number of parts of a prompt that are told apart; requests have two or three.
-pub const SHARED_PARTS_MAX: usize = 16;
+/// Number of leading parts of a prompt of which endpoints may hold the work.
+pub const SIZED_PARTS_MAX: usize = 16;
 
 /// Error: the head of a request cannot be decoded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/endpoint_ends.rs
+++ b/crates/gateway/src/endpoint_ends.rs
@@ -12,7 +12,9 @@
 use std::time::Instant;
 
 use crocustally_core::Digest;
+use crocustally_core::control::PartSet;
 use crocustally_core::control::PromptPart;
+use crocustally_core::control::list_parts;
 use crocustally_core::dispatch::Member;
 use crocustally_core::dispatch::MemberKey;
 use crocustally_core::dispatch::RequestOutcome;
@@ -31,7 +33,6 @@
 use crocustally_wire::control_client::ControlClient;
 use event_listener::Event;
 use futures_lite::future;
-use smallvec::SmallVec;
 
 use crate::Gateway;
 use crate::exchange::Exchange;
@@ -79,8 +80,10 @@
 const TRIAL_ASK_INTERVAL: Duration = Duration::from_secs(10);
 /// Ends that may wait to be reported; further ones are dropped.
 const ENDS_PENDING_MAX: usize = 1024;
-
-type Parts = SmallVec<[PromptPart; 4]>;
+/// The same for the parts of the requests that were in flight at these ends: 2 MiB.
+const PARTS_PENDING_MAX: usize = 262_144;
+/// Parts of requests in one report, unless a single end has more: a quarter of the longest message.
+const PARTS_REPORTED_MAX: usize = 131_072;
 
 /// Incarnation of an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -114,7 +117,7 @@
 pub(crate) struct InFlight {
     gateway: Arc<Gateway>,
     service: String,
-    parts: Parts,
+    parts: PartSet,
     key: MemberKey,
     incarnation: Incarnation,
     domain: String,
@@ -126,7 +129,7 @@
 /// Prompt of a request that was in flight at an endpoint.
 #[derive(Clone, Debug)]
 struct Suspicion {
-    parts: Parts,
+    parts: PartSet,
     digest: Digest,
     sent_at: Instant,
 }
@@ -148,7 +151,7 @@
 }
 
 /// Questions for trials by service and blocked parts.
-pub(crate) type Trials = HashMap<(String, Parts), Trial>;
+pub(crate) type Trials = HashMap<(String, PartSet), Trial>;
 
 /// Ends and sound parts that are to be reported.
 #[derive(Debug, Default)]
@@ -165,6 +168,29 @@
     sound: BTreeMap<String, BTreeSet<PromptPart>>,
 }
 
+impl NoticedEnd {
+    fn part_count(&self) -> usize {
+        self.requests.iter().map(|r| r.parts.len()).sum()
+    }
+}
+
+impl Pending {
+    fn part_count(&self) -> usize {
+        self.ends.iter().map(NoticedEnd::part_count).sum()
+    }
+
+    /// Takes the ends of the next report, the oldest first.
+    fn take_ends(&mut self) -> Vec<NoticedEnd> {
+        let mut parts = 0;
+        let fits = |end: &&NoticedEnd| {
+            parts += end.part_count();
+            parts <= PARTS_REPORTED_MAX
+        };
+        let count = self.ends.iter().take_while(fits).count().max(1).min(self.ends.len());
+        self.ends.drain(..count).collect()
+    }
+}
+
 impl InFlight {
     pub(crate) fn new(ex: &Exchange, key: MemberKey, registration: Registration) -> Self {
         let beat = registration.heartbeat;
@@ -258,7 +284,7 @@
             return;
         }
         let mut pending = gateway.crash_reports.lock();
-        if pending.ends.len() >= ENDS_PENDING_MAX {
+        if pending.ends.len() >= ENDS_PENDING_MAX || pending.part_count() >= PARTS_PENDING_MAX {
             let endpoint = self.incarnation.endpoint.as_str();
             log::error!(endpoint = endpoint; "end of an endpoint not reported: too many");
             return;
@@ -394,9 +420,9 @@
 
 /// Asks in the background whether a request with blocked parts may be sent as a trial. The request that
 /// gave the occasion is refused; the next one may use the grant.
-pub(crate) fn ask_for_trial(gateway: &Arc<Gateway>, service: &str, parts: &[PromptPart]) {
+pub(crate) fn ask_for_trial(gateway: &Arc<Gateway>, service: &str, parts: &PartSet) {
     let now = gateway.clock.now();
-    let key = (service.to_owned(), Parts::from_slice(parts));
+    let key = (service.to_owned(), parts.clone());
     {
         let mut trials = gateway.trials.lock().unwrap_or_else(PoisonError::into_inner);
         trials.retain(|_, t| now.saturating_duration_since(t.asked_at) < TRIAL_ASK_INTERVAL);
@@ -407,11 +433,7 @@
     }
     let gateway = gateway.clone();
     gateway.rt.clone().spawn(async move {
-        let req = TrialRequest {
-            service: key.0.clone(),
-            parts: key.1.iter().map(|p| p.0).collect(),
-            at_ms: 0,
-        };
+        let req = TrialRequest { service: key.0.clone(), parts: key.1.to_wire(), at_ms: 0 };
         for (_, mut client) in control_clients(&gateway) {
             let Some(Ok(reply)) = timeout(REPORT_TIMEOUT, client.trial(req.clone())).await else {
                 continue;
@@ -426,8 +448,8 @@
 }
 
 /// Uses up the grant of a trial, if there is one.
-pub(crate) fn take_trial(gateway: &Gateway, service: &str, parts: &[PromptPart]) -> bool {
-    let key = (service.to_owned(), Parts::from_slice(parts));
+pub(crate) fn take_trial(gateway: &Gateway, service: &str, parts: &PartSet) -> bool {
+    let key = (service.to_owned(), parts.clone());
     let mut trials = gateway.trials.lock().unwrap_or_else(PoisonError::into_inner);
     let asked_before = |t: &Trial| gateway.clock.now().saturating_duration_since(t.asked_at);
     let valid = |t: &&mut Trial| asked_before(t) < TRIAL_ASK_INTERVAL;
@@ -441,7 +463,7 @@
         let changed = reports.changed.listen();
         let (ends, sound) = {
             let mut pending = reports.lock();
-            (std::mem::take(&mut pending.ends), std::mem::take(&mut pending.sound))
+            (pending.take_ends(), std::mem::take(&mut pending.sound))
         };
         if ends.is_empty() && sound.is_empty() {
             changed.await;
@@ -461,10 +483,8 @@
     sound: &BTreeMap<String, BTreeSet<PromptPart>>,
 ) -> CrashReport {
     let age_ms = |at: Instant| now.saturating_duration_since(at).as_millis() as u32;
-    let request = |s: &Suspicion| PromptParts {
-        parts: s.parts.iter().map(|p| p.0).collect(),
-        sent_ago_ms: age_ms(s.sent_at),
-    };
+    let request =
+        |s: &Suspicion| PromptParts { parts: s.parts.to_wire(), sent_ago_ms: age_ms(s.sent_at) };
     let end = |e: &NoticedEnd| EndpointEnd {
         service: e.service.clone(),
         endpoint: e.incarnation.endpoint.clone(),
@@ -512,7 +532,6 @@
 
 /// Parts of several requests, for a log line.
 fn parts_text(requests: &[Suspicion]) -> String {
-    let request =
-        |s: &Suspicion| s.parts.iter().map(ToString::to_string).collect::<Vec<_>>().join(",");
+    let request = |s: &Suspicion| list_parts(&s.parts.to_wire(), ",");
     requests.iter().map(request).collect::<Vec<_>>().join(" ")
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -11,7 +11,7 @@
 use crocustally_core::Code;
 use crocustally_core::Digest;
 use crocustally_core::Ran;
-use crocustally_core::control::PromptPart;
+use crocustally_core::control::PartSet;
 use crocustally_core::dispatch::DispatchRequest;
 use crocustally_core::dispatch::EarlierSends;
 use crocustally_core::dispatch::MemberKey;
@@ -97,6 +97,9 @@
     first_event_due.min(finish_due)
 }
 
+/// Parts of a prompt in an access log line.
+const PARTS_LOGGED_MAX: usize = 16;
+
 /// Longest `Retry-After` that a caller honours.
 pub(crate) fn return_time_max(remaining: Duration) -> Duration {
     remaining.mul_f64(RETURN_TIME_SHARE)
@@ -263,7 +266,7 @@
         let Some(blocked) = fleet.part_filter.blocked(service, &self.meta.shared_parts) else {
             return Ok(());
         };
-        let blocked: SmallVec<[PromptPart; 4]> = SmallVec::from_slice(blocked);
+        let blocked = blocked.clone();
         drop(fleet);
         // A trial is one request, and one send of it.
         if self.tried.is_empty() && endpoint_ends::take_trial(&self.gateway, service, &blocked) {
@@ -371,7 +374,7 @@
     pub(crate) code: Option<Code>,
     pub(crate) retry_after: Option<Duration>,
     /// Shared parts of the prompt.
-    pub(crate) parts: SmallVec<[PromptPart; 4]>,
+    pub(crate) parts: PartSet,
     /// What ended the body of the response that was delivered.
     pub(crate) framing: Option<BodyFraming>,
     /// Whether the response was delivered completely.
@@ -412,7 +415,8 @@
             .iter()
             .map(|(endpoint, took, outcome)| format!("{endpoint} {outcome:?} {}ms", ms(*took)))
             .collect();
-        let parts: Vec<String> = self.parts.iter().map(ToString::to_string).collect();
+        let parts: Vec<String> =
+            self.parts.iter().take(PARTS_LOGGED_MAX).map(ToString::to_string).collect();
         log::info!(
             id = self.id.as_str(),
             route = self.route.as_str(),
@@ -431,6 +435,7 @@
             framing = self.framing.map(BodyFraming::as_str),
             retry_after_ms = self.retry_after.map(ms),
             parts = parts.join(",").as_str(),
+            parts_count = self.parts.len(),
             in_flight = in_flight,
             limit = limit,
             waiting = waiting,
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -23,7 +23,7 @@
 
 use crate::Gateway;
 use crate::RequestHead;
-use crate::SHARED_PARTS_MAX;
+use crate::SIZED_PARTS_MAX;
 use crate::exchange;
 use crate::frontend;
 
@@ -103,8 +103,8 @@
             host: self.host.clone(),
             api_key: self.api_key.clone(),
             prompt_tokens: if self.prompt_tokens > 0 { self.prompt_tokens } else { sum },
-            shared_parts: shared.iter().take(SHARED_PARTS_MAX).map(id).collect(),
-            prompt: self.prompt.iter().take(SHARED_PARTS_MAX).map(sized).collect(),
+            shared_parts: shared.iter().map(id).collect(),
+            prompt: self.prompt.iter().take(SIZED_PARTS_MAX).map(sized).collect(),
             ..RequestHead::default()
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,7 +36,7 @@
 pub use dialect::MalformedRequest;
 pub use dialect::RequestHead;
 pub use dialect::ResponseHead;
-pub use dialect::SHARED_PARTS_MAX;
+pub use dialect::SIZED_PARTS_MAX;
 pub use events::EventBuffer;
 pub use events::MissingEvents;
 pub use explain::WhereQuery;
