--- a/crates/core/tests/evacuation_orders.rs
+++ b/crates/core/tests/evacuation_orders.rs
@@ -256,7 +256,7 @@
 
     /// Each order of an operator is the opposite of the one before, or the same again.
     fn order_of(&self, operator: usize, order: usize) -> bool {
-        (order / 2 + operator + order % 3) % 2 == 0
+        (order / 2 + operator + order % 3).is_multiple_of(2)
     }
 
     fn issue(&mut self, operator: usize) {
