Crash evidence: compare blocks without copying them

Control instances compare the blocks before and after each change of the replicated state; blocks of long prompts have thousands of parts. No change of behaviour: crash_evidence passes (15 tests).

--- a/crates/core/src/control/crash_evidence.rs
+++ b/crates/core/src/control/crash_evidence.rs
@@ -157,11 +157,13 @@
 
     /// Whether the same requests are refused.
     pub fn has_same_blocks(&self, other: &Self) -> bool {
-        let blocks = |e: &Self| -> Vec<(String, Vec<Block>)> {
-            let blocked = e.services.iter().filter(|(_, e)| !e.blocks.is_empty());
-            blocked.map(|(service, e)| (service.clone(), e.blocks.clone())).collect()
-        };
-        blocks(self) == blocks(other)
+        self.blocks().eq(other.blocks())
+    }
+
+    /// All blocks with their services.
+    fn blocks(&self) -> impl Iterator<Item = (&String, &Block)> {
+        let services = self.services.iter();
+        services.flat_map(|(service, e)| e.blocks.iter().map(move |block| (service, block)))
     }
 
     /// What gateways watch and refuse.
