Suspected parts reach gateways at once again, unless there are thousands

Change: up to 4,096 suspects, 32 KiB, are sent at once as before; only more are held back for 200 ms.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -75,8 +75,11 @@
 /// Interval between batched updates to subscribers. Gateways route by the load of ranks, so it has
 /// to stay short.
 const FLUSH_PERIOD: Duration = Duration::from_millis(100);
-/// Shortest interval between two updates on which parts of prompts are suspected. Sound answers clear them one
-/// after the other, and each update has all of them; blocked ones are sent at once.
+/// Suspected parts of prompts of which subscribers are told at once, 32 KiB of them. Sound parts that are in flight
+/// at several ends must be cleared before they have as many as the part at fault.
+const SUSPECTS_AT_ONCE_MAX: usize = 4096;
+/// Shortest interval between two updates with more suspected parts. Sound answers clear them one after the other,
+/// and each update has all of them; blocked ones are sent at once.
 const SUSPECTS_PERIOD: Duration = Duration::from_millis(200);
 /// Time without a message of its replica after which an instance coordinates no more groups. Replicas
 /// answer the leader's heartbeats several times as often.
@@ -270,9 +273,11 @@
             let unchanged = before.policy_version() == machine.policy_version()
                 && before.evacuated() == machine.evacuated()
                 && before.gateways() == machine.gateways()
-                && evidence.0.has_same_blocks(evidence.1);
+                && (evidence.0 == evidence.1
+                    || evidence.0.has_same_blocks(evidence.1)
+                        && evidence.1.suspect_count() > SUSPECTS_AT_ONCE_MAX);
             if unchanged && before.last_applied() > 0 {
-                let changed = !Arc::ptr_eq(evidence.0, evidence.1);
+                let changed = evidence.0 != evidence.1;
                 self.suspects_changed.fetch_or(changed, Ordering::AcqRel);
                 continue;
             }
--- a/crates/core/src/control/crash_evidence.rs
+++ b/crates/core/src/control/crash_evidence.rs
@@ -155,6 +155,11 @@
         sound.parts.iter().copied().filter(|p| evidence.concerns(PromptPart(*p))).collect()
     }
 
+    /// Number of suspected parts of all services.
+    pub fn suspect_count(&self) -> usize {
+        self.services.values().map(|e| e.group_of.len()).sum()
+    }
+
     /// Whether the same requests are refused.
     pub fn has_same_blocks(&self, other: &Self) -> bool {
         self.blocks().eq(other.blocks())
